--- /dev/null
+++ b/src/backend/admission.ts
@@ -0,0 +1,255 @@
+import {RefusalReason, type Deadline, type LoadReport} from '../call/index.js';
+import type {Clock, Millis} from '../clock/index.js';
+import {invariant} from '../util/index.js';
+import {ServiceTime} from './service-time.js';
+
+/** A call that asks for a slot. Exactly one of `start` and `refuse` is called, once. */
+export interface Ticket {
+	readonly customer: string;
+	/** Weight of the customer when calls compete. */
+	readonly share: number;
+	readonly deadline: Deadline;
+	/** The slot is the caller's own until it is released. */
+	start(): void;
+	/**
+	 * The call does not get a slot.
+	 * @param reason - why.
+	 */
+	refuse(reason: RefusalReason): void;
+}
+
+/** Limits of a backend server. */
+export interface AdmissionLimits {
+	/** Calls that may run at once. */
+	readonly slots: number;
+	/** Calls that may wait. */
+	readonly queue: number;
+}
+
+type Usage = {running: number; queued: number; share: number};
+
+/**
+ * Decides which calls run at the backend server. Its slots are never exceeded; who waits is served
+ * by fair shares between customers and by deadline within a customer; who cannot be served in time
+ * is refused at once.
+ */
+export class Admission {
+	private readonly running = new Map<Ticket, Millis>();
+	private readonly queue: Ticket[] = [];
+	private readonly usage = new Map<string, Usage>();
+	private readonly serviceTime = new ServiceTime();
+
+	constructor(
+		private readonly clock: Pick<Clock, 'now'>,
+		private limits: AdmissionLimits,
+	) {}
+
+	get inFlight(): number {
+		return this.running.size;
+	}
+
+	get queued(): number {
+		return this.queue.length;
+	}
+
+	/**
+	 * @param limits - what holds from now on; calls that run keep their slots.
+	 */
+	setLimits(limits: AdmissionLimits): void {
+		this.limits = limits;
+		this.fill();
+	}
+
+	/**
+	 * Asks for a slot; the answer may come before this returns.
+	 * @param ticket - who asks.
+	 */
+	request(ticket: Ticket): void {
+		const reason = this.refusalFor(ticket);
+		if (reason !== undefined) {
+			ticket.refuse(reason);
+		} else if (this.running.size < this.limits.slots) {
+			this.begin(ticket);
+		} else {
+			this.enqueue(ticket);
+		}
+	}
+
+	/**
+	 * Takes a waiting call out of the queue without a word to it.
+	 * @param ticket - who no longer waits.
+	 * @returns whether it was waiting.
+	 */
+	withdraw(ticket: Ticket): boolean {
+		const index = this.queue.indexOf(ticket);
+		if (index === -1) {
+			return false;
+		}
+
+		this.queue.splice(index, 1);
+		this.use(ticket).queued -= 1;
+		this.dropUnused(ticket.customer);
+		return true;
+	}
+
+	/**
+	 * Gives a slot back.
+	 * @param ticket - whose slot it was.
+	 * @param isFailure - whether the backend server failed.
+	 */
+	release(ticket: Ticket, isFailure: boolean): void {
+		const startedAt = this.running.get(ticket);
+		invariant(startedAt !== undefined, 'a slot is released once, by who holds it');
+		this.running.delete(ticket);
+		this.use(ticket).running -= 1;
+		this.dropUnused(ticket.customer);
+		this.serviceTime.add(this.clock.now() - startedAt, isFailure);
+		this.fill();
+	}
+
+	/** Refuses those whose time has become too short; called every few ms. */
+	sweep(): void {
+		const now = this.clock.now();
+		const late = this.queue.filter((ticket) => ticket.deadline.timeLeft(now) < this.minimumTime());
+		for (const ticket of late) {
+			this.withdraw(ticket);
+			ticket.refuse(RefusalReason.DeadlineTooShort);
+		}
+	}
+
+	/**
+	 * Refuses all that wait.
+	 * @param reason - why.
+	 */
+	refuseQueue(reason: RefusalReason): void {
+		for (const ticket of this.queue) {
+			this.withdraw(ticket);
+			ticket.refuse(reason);
+		}
+	}
+
+	/** @returns the load at this moment. */
+	report(): LoadReport {
+		return {
+			inFlight: this.running.size,
+			queued: this.queue.length,
+			slots: this.limits.slots,
+			serviceTime: this.currentServiceTime(),
+			failureShare: this.serviceTime.failureShare,
+		};
+	}
+
+	private refusalFor(ticket: Ticket): RefusalReason | undefined {
+		const timeLeft = ticket.deadline.timeLeft(this.clock.now());
+		if (timeLeft <= 0) {
+			return RefusalReason.DeadlinePassed;
+		}
+
+		if (this.running.size < this.limits.slots) {
+			return undefined;
+		}
+
+		if (this.queue.length >= this.limits.queue) {
+			return RefusalReason.QueueFull;
+		}
+
+		if (this.isOverShare(ticket)) {
+			return RefusalReason.CustomerShare;
+		}
+
+		return this.predictedTime(ticket) > timeLeft ? RefusalReason.DeadlineTooShort : undefined;
+	}
+
+	// A customer may use all that is free, but not more than its share once others compete.
+	private isOverShare(ticket: Ticket): boolean {
+		let total = ticket.share;
+		for (const [customer, usage] of this.usage) {
+			total += customer === ticket.customer ? 0 : usage.share;
+		}
+
+		const usage = this.usage.get(ticket.customer);
+		const used = (usage?.running ?? 0) + (usage?.queued ?? 0);
+		const capacity = this.limits.slots + this.limits.queue;
+		return used >= Math.max(1, (capacity * ticket.share) / total);
+	}
+
+	private predictedTime(ticket: Ticket): Millis {
+		let ahead = 1 + Math.max(0, this.running.size - this.limits.slots);
+		for (const other of this.queue) {
+			ahead += other.deadline.at <= ticket.deadline.at ? 1 : 0;
+		}
+
+		const serviceTime = this.currentServiceTime();
+		return (ahead / Math.max(1, this.limits.slots)) * serviceTime + serviceTime;
+	}
+
+	// Calls that run for longer than usual tell of a slow backend server before they end.
+	private currentServiceTime(): Millis {
+		const now = this.clock.now();
+		let age = 0;
+		for (const startedAt of this.running.values()) {
+			age += now - startedAt;
+		}
+
+		const meanAge = this.running.size > 0 ? age / this.running.size : 0;
+		return Math.max(this.serviceTime.average, meanAge);
+	}
+
+	private minimumTime(): Millis {
+		return this.serviceTime.average / 2;
+	}
+
+	private begin(ticket: Ticket): void {
+		this.running.set(ticket, this.clock.now());
+		this.use(ticket).running += 1;
+		ticket.start();
+	}
+
+	private enqueue(ticket: Ticket): void {
+		const index = this.queue.findIndex((other) => other.deadline.at > ticket.deadline.at);
+		this.queue.splice(index === -1 ? this.queue.length : index, 0, ticket);
+		this.use(ticket).queued += 1;
+	}
+
+	private fill(): void {
+		this.sweep();
+		while (this.queue.length > 0 && this.running.size < this.limits.slots) {
+			const ticket = this.nextTicket();
+			this.withdraw(ticket);
+			this.begin(ticket);
+		}
+	}
+
+	private nextTicket(): Ticket {
+		let best = this.queue[0];
+		invariant(best !== undefined, 'the next ticket is taken from a queue that is not empty');
+		for (const ticket of this.queue) {
+			if (this.pressure(ticket) < this.pressure(best)) {
+				best = ticket;
+			}
+		}
+
+		return best;
+	}
+
+	private pressure(ticket: Ticket): number {
+		return (this.usage.get(ticket.customer)?.running ?? 0) / ticket.share;
+	}
+
+	private use(ticket: Ticket): Usage {
+		let usage = this.usage.get(ticket.customer);
+		if (!usage) {
+			usage = {running: 0, queued: 0, share: ticket.share};
+			this.usage.set(ticket.customer, usage);
+		}
+
+		return usage;
+	}
+
+	private dropUnused(customer: string): void {
+		const usage = this.usage.get(customer);
+		if (usage && usage.running + usage.queued === 0) {
+			this.usage.delete(customer);
+		}
+	}
+}
--- /dev/null
+++ b/src/backend/index.ts
@@ -0,0 +1,4 @@
+export {Admission, type AdmissionLimits, type Ticket} from './admission.js';
+export {BackendEvent, backendMachine, BackendState} from './backend-lifecycle.js';
+export {ServiceTime} from './service-time.js';
+export {warmingSlots} from './warm-up.js';
--- /dev/null
+++ b/src/call/refusal-reason.ts
@@ -0,0 +1,98 @@
+import {second, type Millis} from '../clock/index.js';
+import {Outcome} from './outcome.js';
+
+/** Why a call was not answered. The values are part of the protocol and of the metrics. */
+export enum RefusalReason {
+	BadRequest = 'bad-request',
+	NoService = 'no-service',
+	NotReady = 'not-ready',
+	NoBackend = 'no-backend',
+	QueueFull = 'queue-full',
+	CustomerShare = 'customer-share',
+	DeadlineTooShort = 'deadline-too-short',
+	DeadlinePassed = 'deadline-passed',
+	Draining = 'draining',
+	Held = 'held',
+	Fenced = 'fenced',
+	BackendUnreachable = 'backend-unreachable',
+	BackendRefused = 'backend-refused',
+	RetryBudget = 'retry-budget',
+	LinkBudget = 'link-budget',
+	LinkUnreachable = 'link-unreachable',
+	TooManyCalls = 'too-many-calls',
+	StoreUnavailable = 'store-unavailable',
+	KeyMemoryFull = 'key-memory-full',
+	KeyReused = 'key-reused',
+	KeyHomeUnreachable = 'key-home-unreachable',
+	Canceled = 'canceled',
+	AnswerTimeout = 'answer-timeout',
+	BackendLost = 'backend-lost',
+	ExecutorLost = 'executor-lost',
+	KeyHomeGone = 'key-home-gone',
+	KeyForgotten = 'key-forgotten',
+	AnswerNotKept = 'answer-not-kept',
+}
+
+/** What a caller is told for one reason. */
+export interface Refusal {
+	readonly outcome: Outcome;
+	/** HTTP status. */
+	readonly status: number;
+	/** Value for `Retry-After`, in ms; undefined where sending again does not help. */
+	readonly retryAfter: Millis | undefined;
+	/** Whether another executor may be tried at once. */
+	readonly isElsewhereUseful: boolean;
+}
+
+const unavailable = 503;
+const gatewayTimeout = 504;
+
+function notRun(status: number, retryAfter?: Millis, isElsewhereUseful = false): Refusal {
+	return {outcome: Outcome.NotRun, status, retryAfter, isElsewhereUseful};
+}
+
+function unknown(): Refusal {
+	return {
+		outcome: Outcome.Unknown,
+		status: gatewayTimeout,
+		retryAfter: undefined,
+		isElsewhereUseful: false,
+	};
+}
+
+/** The catalogue of refusals: the same status and words for every refusal of one reason. */
+export const refusals: Readonly<Record<RefusalReason, Refusal>> = {
+	[RefusalReason.BadRequest]: notRun(400),
+	[RefusalReason.NoService]: notRun(404),
+	[RefusalReason.NotReady]: notRun(unavailable, second),
+	[RefusalReason.NoBackend]: notRun(unavailable, second),
+	[RefusalReason.QueueFull]: notRun(unavailable, second, true),
+	[RefusalReason.CustomerShare]: notRun(429, second, true),
+	[RefusalReason.DeadlineTooShort]: notRun(unavailable, second, true),
+	[RefusalReason.DeadlinePassed]: notRun(unavailable, second),
+	[RefusalReason.Draining]: notRun(unavailable, second, true),
+	[RefusalReason.Held]: notRun(unavailable, 60 * second),
+	[RefusalReason.Fenced]: notRun(unavailable, second, true),
+	[RefusalReason.BackendUnreachable]: notRun(unavailable, second, true),
+	[RefusalReason.BackendRefused]: notRun(unavailable, second, true),
+	[RefusalReason.RetryBudget]: notRun(unavailable, second),
+	[RefusalReason.LinkBudget]: notRun(unavailable, second),
+	[RefusalReason.LinkUnreachable]: notRun(unavailable, second, true),
+	[RefusalReason.TooManyCalls]: notRun(429, second),
+	[RefusalReason.StoreUnavailable]: notRun(unavailable, 5 * second),
+	[RefusalReason.KeyMemoryFull]: notRun(429, 5 * second),
+	[RefusalReason.KeyReused]: notRun(422),
+	[RefusalReason.KeyHomeUnreachable]: unknown(),
+	[RefusalReason.Canceled]: unknown(),
+	[RefusalReason.AnswerTimeout]: unknown(),
+	[RefusalReason.BackendLost]: unknown(),
+	[RefusalReason.ExecutorLost]: unknown(),
+	[RefusalReason.KeyHomeGone]: unknown(),
+	[RefusalReason.KeyForgotten]: unknown(),
+	[RefusalReason.AnswerNotKept]: {
+		outcome: Outcome.Answered,
+		status: 409,
+		retryAfter: undefined,
+		isElsewhereUseful: false,
+	},
+};
--- /dev/null
+++ b/src/clock/index.ts
@@ -0,0 +1,3 @@
+export type {Clock, Undo} from './clock.js';
+export {ManualClock} from './manual-clock.js';
+export {minute, second, type Millis} from './millis.js';
--- /dev/null
+++ b/src/declaration/declaration-index.ts
@@ -0,0 +1,63 @@
+import type {CallPolicy, Declaration, LinkBudget, ServicePolicy} from './declaration.js';
+
+/** Looks up policies of one revision. A call keeps the index that it started with. */
+export class DeclarationIndex {
+	private readonly services = new Map<string, ServicePolicy>();
+	private readonly calls = new Map<string, Map<string, CallPolicy>>();
+
+	constructor(
+		readonly revision: number,
+		readonly declaration: Declaration,
+	) {
+		for (const policy of declaration.services) {
+			this.services.set(policy.service, policy);
+		}
+
+		for (const policy of declaration.calls) {
+			const customers = this.calls.get(policy.service) ?? new Map<string, CallPolicy>();
+			customers.set(policy.customer, policy);
+			this.calls.set(policy.service, customers);
+		}
+	}
+
+	/**
+	 * @param service - name of a service.
+	 * @returns what holds for it; undefined when it is not declared.
+	 */
+	service(service: string): ServicePolicy | undefined {
+		return this.services.get(service);
+	}
+
+	/**
+	 * @param service - name of a service.
+	 * @param customer - name of a customer.
+	 * @returns what holds for the customer's calls; undefined when nothing is declared.
+	 */
+	call(service: string, customer: string): CallPolicy | undefined {
+		return this.calls.get(service)?.get(customer);
+	}
+
+	/**
+	 * @param a - one region.
+	 * @param b - another region.
+	 * @returns the budget of the link between them; undefined where none is declared.
+	 */
+	link(a: string, b: string): LinkBudget | undefined {
+		return this.declaration.links.find(
+			({regions}) => regions.includes(a) && regions.includes(b) && a !== b,
+		);
+	}
+}
+
+/**
+ * @param policy - what holds for the call.
+ * @param method - method of the request.
+ * @param path - path of the request.
+ * @returns whether the request may run more than once.
+ */
+export function isIdempotent(policy: CallPolicy, method: string, path: string): boolean {
+	return (
+		policy.idempotentMethods.includes(method) ||
+		policy.idempotentPaths.some((prefix) => path.startsWith(prefix))
+	);
+}
--- /dev/null
+++ b/src/exchange/body.ts
@@ -0,0 +1,33 @@
+import type {Readable} from 'node:stream';
+import type {HeaderList} from '../call/index.js';
+
+/** Bodies up to this many bytes travel in one piece with their head. */
+export const inlineBodyBytes = 16_384;
+
+/** A body that is here as a whole, or a stream that is read once. */
+export interface Body {
+	/** The whole body; undefined for a stream. */
+	readonly bytes: Uint8Array | undefined;
+	/** The stream; undefined for a whole body. */
+	readonly stream: Readable | undefined;
+	/** Trailers; complete once the body has ended. */
+	readonly trailers: HeaderList;
+}
+
+/**
+ * @param bytes - the whole body.
+ * @param trailers - trailers after it.
+ * @returns a body that is here as a whole.
+ */
+export function createWholeBody(bytes: Uint8Array, trailers: HeaderList = []): Body {
+	return {bytes, stream: undefined, trailers};
+}
+
+/**
+ * @param stream - the bytes.
+ * @param trailers - a list that is filled before the stream ends.
+ * @returns a body that is read once.
+ */
+export function createStreamBody(stream: Readable, trailers: HeaderList = []): Body {
+	return {bytes: undefined, stream, trailers};
+}
--- /dev/null
+++ b/src/exchange/index.ts
@@ -0,0 +1,13 @@
+export {
+	AttemptEnd,
+	createRefused,
+	createUnknown,
+	type AnsweredAttempt,
+	type Attempt,
+	type AttemptResult,
+	type AttemptRunner,
+	type RefusedAttempt,
+	type UnknownAttempt,
+} from './attempt.js';
+export {createStreamBody, createWholeBody, inlineBodyBytes, type Body} from './body.js';
+export {Cancellation} from './cancellation.js';
--- /dev/null
+++ b/src/executor/index.ts
@@ -0,0 +1,2 @@
+export {Executor, type CrashWatch, type ExecutorParts} from './executor.js';
+export {stripHeaders} from './headers.js';
--- /dev/null
+++ b/src/link/body-sender.ts
@@ -0,0 +1,109 @@
+import type {Readable} from 'node:stream';
+import {RefusalReason, type HeaderList} from '../call/index.js';
+import {FrameType} from './frame.js';
+import type {Link} from './link.js';
+import {chunkBytes} from './link-limits.js';
+
+/** What a sender is made of. */
+export interface BodySenderParts {
+	readonly link: Link;
+	readonly stream: number;
+	readonly source: Readable;
+	/** Complete once the source has ended. */
+	readonly trailers: HeaderList;
+	/** Bytes that may be sent before the receiver says more. */
+	readonly initialCredit: number;
+	/** Called when the last frame of the body is sent. */
+	finished(): void;
+}
+
+/** Sends a streamed body, never more than the receiver has granted. */
+export class BodySender {
+	private isEnded = false;
+	private isDone = false;
+
+	private readonly link: Link;
+	private readonly stream: number;
+	private readonly source: Readable;
+	private readonly trailers: HeaderList;
+	private readonly finished: BodySenderParts['finished'];
+	private credit: number;
+
+	constructor(parts: BodySenderParts) {
+		const {link, stream, source, trailers, initialCredit, finished} = parts;
+		this.link = link;
+		this.stream = stream;
+		this.source = source;
+		this.trailers = trailers;
+		this.credit = initialCredit;
+		this.finished = finished;
+		source.on('readable', () => {
+			this.pump();
+		});
+		source.once('end', () => {
+			this.isEnded = true;
+			this.finish();
+		});
+		source.once('error', () => {
+			this.fail();
+		});
+		source.once('close', () => {
+			this.fail();
+		});
+	}
+
+	/**
+	 * @param bytes - how much more may be sent.
+	 */
+	grant(bytes: number): void {
+		this.credit += bytes;
+		this.pump();
+	}
+
+	/** Stops sending; nobody reads any more. */
+	cancel(): void {
+		this.isDone = true;
+		this.source.destroy();
+	}
+
+	private pump(): void {
+		while (this.credit > 0 && !this.isDone) {
+			const size = Math.min(this.credit, chunkBytes, this.source.readableLength);
+			const chunk = size > 0 ? this.read(size) : this.probeEnd();
+			if (!chunk) {
+				return;
+			}
+
+			this.credit -= chunk.length;
+			this.link.send({type: FrameType.Data, stream: this.stream, bytes: chunk});
+		}
+	}
+
+	// Reading an empty buffer makes the source fetch more, or tell that it has ended.
+	private probeEnd(): Uint8Array | undefined {
+		this.source.read(0);
+		return undefined;
+	}
+
+	private read(size: number): Uint8Array | undefined {
+		const chunk: unknown = this.source.read(size);
+		return chunk instanceof Uint8Array ? chunk : undefined;
+	}
+
+	private finish(): void {
+		if (!this.isDone) {
+			this.isDone = true;
+			this.link.send({type: FrameType.End, stream: this.stream, trailers: this.trailers});
+			this.finished();
+		}
+	}
+
+	private fail(): void {
+		if (!this.isDone && !this.isEnded) {
+			this.isDone = true;
+			const reason = RefusalReason.BackendLost;
+			this.link.send({type: FrameType.Failed, stream: this.stream, reason});
+			this.finished();
+		}
+	}
+}
--- /dev/null
+++ b/src/link/frame-codec.ts
@@ -0,0 +1,394 @@
+import {Packr} from 'msgpackr';
+import {AttemptState, RefusalReason, type HeaderList, type LoadReport} from '../call/index.js';
+import {FrameType, OpenTarget, type Frame} from './frame.js';
+
+/** Bytes that are no frame of this protocol. */
+export class FrameDecodeError extends Error {
+	override name = 'FrameDecodeError';
+}
+
+const packr = new Packr({useRecords: false});
+const reasons = new Set<string>(Object.values(RefusalReason));
+const attemptStates = [
+	AttemptState.Fenced,
+	AttemptState.Admitted,
+	AttemptState.Ran,
+	AttemptState.Refused,
+	AttemptState.Forgotten,
+] as const;
+
+function packLoad(load: LoadReport | undefined): readonly number[] | undefined {
+	return load && [load.inFlight, load.queued, load.slots, load.serviceTime, load.failureShare];
+}
+
+function packFields(frame: Frame): readonly unknown[] {
+	const {type} = frame;
+	switch (type) {
+		case FrameType.Challenge: {
+			return [type, frame.version, frame.nonce];
+		}
+
+		case FrameType.Hello: {
+			const {version, id, instance, region, nonce, proof} = frame;
+			return [type, version, id, instance, region, nonce, proof];
+		}
+
+		case FrameType.Welcome: {
+			return [type, frame.id, frame.instance, frame.region, frame.proof];
+		}
+
+		case FrameType.Open: {
+			return [
+				type,
+				frame.stream,
+				frame.target,
+				frame.sequence,
+				frame.service,
+				frame.customer,
+				frame.method,
+				frame.path,
+				frame.headers,
+				frame.isIdempotent,
+				frame.key,
+				frame.fingerprint,
+				frame.share,
+				frame.timeLeft,
+				frame.body,
+			];
+		}
+
+		case FrameType.Credit: {
+			return [type, frame.stream, frame.bytes];
+		}
+
+		case FrameType.Data: {
+			return [type, frame.stream, frame.bytes];
+		}
+
+		case FrameType.End: {
+			return [type, frame.stream, frame.trailers];
+		}
+
+		case FrameType.Answer: {
+			const {stream, status, headers, load, body, trailers} = frame;
+			return [type, stream, status, headers, packLoad(load), body, trailers];
+		}
+
+		case FrameType.Refused: {
+			return [type, frame.stream, frame.reason, packLoad(frame.load)];
+		}
+
+		case FrameType.Failed: {
+			return [type, frame.stream, frame.reason];
+		}
+
+		case FrameType.Cancel: {
+			return [type, frame.stream];
+		}
+
+		case FrameType.Ask: {
+			return [type, frame.question, frame.sequence];
+		}
+
+		case FrameType.Told: {
+			return [type, frame.question, frame.state];
+		}
+
+		case FrameType.Beat:
+		case FrameType.Leaving: {
+			return [type];
+		}
+
+		case FrameType.Fetch: {
+			return [type, frame.question, frame.hash];
+		}
+
+		case FrameType.Fetched: {
+			return [type, frame.question, frame.content];
+		}
+
+		case FrameType.Handover: {
+			return [type, frame.question, frame.records];
+		}
+
+		case FrameType.HandoverTaken: {
+			return [type, frame.question];
+		}
+	}
+}
+
+/** Reads the fields of a frame in order and checks the type of each. */
+class FieldReader {
+	private index = 0;
+
+	constructor(private readonly fields: readonly unknown[]) {}
+
+	text(): string {
+		const value = this.take();
+		if (typeof value !== 'string') {
+			throw new FrameDecodeError('a text was expected');
+		}
+
+		return value;
+	}
+
+	optionalText(): string | undefined {
+		return this.optional(() => this.text());
+	}
+
+	number(): number {
+		const value = this.take();
+		if (typeof value !== 'number' || !Number.isFinite(value) || value < 0) {
+			throw new FrameDecodeError('a number from 0 was expected');
+		}
+
+		return value;
+	}
+
+	flag(): boolean {
+		const value = this.take();
+		if (typeof value !== 'boolean') {
+			throw new FrameDecodeError('a flag was expected');
+		}
+
+		return value;
+	}
+
+	bytes(): Uint8Array {
+		const value = this.take();
+		if (!(value instanceof Uint8Array)) {
+			throw new FrameDecodeError('bytes were expected');
+		}
+
+		return value;
+	}
+
+	optionalBytes(): Uint8Array | undefined {
+		return this.optional(() => this.bytes());
+	}
+
+	headers(): HeaderList {
+		const value = this.list();
+		const headers: HeaderList = [];
+		for (const item of value) {
+			if (typeof item !== 'string') {
+				throw new FrameDecodeError('a header list was expected');
+			}
+
+			headers.push(item);
+		}
+
+		if (headers.length % 2 !== 0) {
+			throw new FrameDecodeError('a header has no value');
+		}
+
+		return headers;
+	}
+
+	reason(): RefusalReason {
+		const value = this.text();
+		if (!isReason(value)) {
+			throw new FrameDecodeError('a refusal reason was expected');
+		}
+
+		return value;
+	}
+
+	load(): LoadReport {
+		const fields = new FieldReader(this.list());
+		return {
+			inFlight: fields.number(),
+			queued: fields.number(),
+			slots: fields.number(),
+			serviceTime: fields.number(),
+			failureShare: fields.number(),
+		};
+	}
+
+	optionalLoad(): LoadReport | undefined {
+		return this.optional(() => this.load());
+	}
+
+	state(): AttemptState {
+		const state = attemptStates[this.number()];
+		if (state === undefined) {
+			throw new FrameDecodeError('an attempt state was expected');
+		}
+
+		return state;
+	}
+
+	target(): OpenTarget {
+		return this.number() === 0 ? OpenTarget.Executor : OpenTarget.KeyHome;
+	}
+
+	private list(): readonly unknown[] {
+		const value = this.take();
+		if (!Array.isArray(value)) {
+			throw new FrameDecodeError('a list was expected');
+		}
+
+		return value;
+	}
+
+	private optional<T>(read: () => T): T | undefined {
+		if (this.fields[this.index] === undefined) {
+			this.index += 1;
+			return undefined;
+		}
+
+		return read();
+	}
+
+	private take(): unknown {
+		const value = this.fields[this.index];
+		this.index += 1;
+		return value;
+	}
+}
+
+function isReason(text: string): text is RefusalReason {
+	return reasons.has(text);
+}
+
+type Decoder = (fields: FieldReader) => Frame;
+
+const decoders: Readonly<Record<FrameType, Decoder>> = {
+	[FrameType.Challenge]: (fields) => ({
+		type: FrameType.Challenge,
+		version: fields.number(),
+		nonce: fields.text(),
+	}),
+	[FrameType.Hello]: (fields) => ({
+		type: FrameType.Hello,
+		version: fields.number(),
+		id: fields.text(),
+		instance: fields.text(),
+		region: fields.text(),
+		nonce: fields.text(),
+		proof: fields.text(),
+	}),
+	[FrameType.Welcome]: (fields) => ({
+		type: FrameType.Welcome,
+		id: fields.text(),
+		instance: fields.text(),
+		region: fields.text(),
+		proof: fields.text(),
+	}),
+	[FrameType.Open]: (fields) => ({
+		type: FrameType.Open,
+		stream: fields.number(),
+		target: fields.target(),
+		sequence: fields.number(),
+		service: fields.text(),
+		customer: fields.text(),
+		method: fields.text(),
+		path: fields.text(),
+		headers: fields.headers(),
+		isIdempotent: fields.flag(),
+		key: fields.optionalText(),
+		fingerprint: fields.text(),
+		share: fields.number(),
+		timeLeft: fields.number(),
+		body: fields.optionalBytes(),
+	}),
+	[FrameType.Credit]: (fields) => ({
+		type: FrameType.Credit,
+		stream: fields.number(),
+		bytes: fields.number(),
+	}),
+	[FrameType.Data]: (fields) => ({
+		type: FrameType.Data,
+		stream: fields.number(),
+		bytes: fields.bytes(),
+	}),
+	[FrameType.End]: (fields) => ({
+		type: FrameType.End,
+		stream: fields.number(),
+		trailers: fields.headers(),
+	}),
+	[FrameType.Answer]: (fields) => ({
+		type: FrameType.Answer,
+		stream: fields.number(),
+		status: fields.number(),
+		headers: fields.headers(),
+		load: fields.load(),
+		body: fields.optionalBytes(),
+		trailers: fields.headers(),
+	}),
+	[FrameType.Refused]: (fields) => ({
+		type: FrameType.Refused,
+		stream: fields.number(),
+		reason: fields.reason(),
+		load: fields.optionalLoad(),
+	}),
+	[FrameType.Failed]: (fields) => ({
+		type: FrameType.Failed,
+		stream: fields.number(),
+		reason: fields.reason(),
+	}),
+	[FrameType.Cancel]: (fields) => ({type: FrameType.Cancel, stream: fields.number()}),
+	[FrameType.Ask]: (fields) => ({
+		type: FrameType.Ask,
+		question: fields.number(),
+		sequence: fields.number(),
+	}),
+	[FrameType.Told]: (fields) => ({
+		type: FrameType.Told,
+		question: fields.number(),
+		state: fields.state(),
+	}),
+	[FrameType.Beat]: () => ({type: FrameType.Beat}),
+	[FrameType.Leaving]: () => ({type: FrameType.Leaving}),
+	[FrameType.Fetch]: (fields) => ({
+		type: FrameType.Fetch,
+		question: fields.number(),
+		hash: fields.text(),
+	}),
+	[FrameType.Fetched]: (fields) => ({
+		type: FrameType.Fetched,
+		question: fields.number(),
+		content: fields.optionalText(),
+	}),
+	[FrameType.Handover]: (fields) => ({
+		type: FrameType.Handover,
+		question: fields.number(),
+		records: fields.bytes(),
+	}),
+	[FrameType.HandoverTaken]: (fields) => ({
+		type: FrameType.HandoverTaken,
+		question: fields.number(),
+	}),
+};
+
+function isFrameType(value: unknown): value is FrameType {
+	return typeof value === 'number' && value in decoders;
+}
+
+/**
+ * @param frame - what to send.
+ * @returns its bytes.
+ */
+export function encodeFrame(frame: Frame): Uint8Array {
+	return packr.pack(packFields(frame));
+}
+
+/**
+ * @param bytes - what came from a peer.
+ * @returns the frame.
+ * @throws {@link FrameDecodeError} when the bytes are no frame.
+ */
+export function decodeFrame(bytes: Uint8Array): Frame {
+	let fields: unknown;
+	try {
+		fields = packr.unpack(bytes);
+	} catch (err) {
+		throw new FrameDecodeError('not msgpack', {cause: err});
+	}
+
+	if (!Array.isArray(fields) || !isFrameType(fields[0])) {
+		throw new FrameDecodeError('not a known frame type');
+	}
+
+	return decoders[fields[0]](new FieldReader(fields.slice(1)));
+}
--- /dev/null
+++ b/src/link/incoming-attempt.ts
@@ -0,0 +1,170 @@
+import {Deadline, type LoadReport} from '../call/index.js';
+import type {Millis} from '../clock/index.js';
+import {
+	AttemptEnd,
+	Cancellation,
+	createStreamBody,
+	createWholeBody,
+	type AnsweredAttempt,
+	type Attempt,
+	type AttemptResult,
+	type AttemptRunner,
+	type Body,
+} from '../exchange/index.js';
+import {BodyReceiver} from './body-receiver.js';
+import {BodySender} from './body-sender.js';
+import {FrameType, type Frame, type OpenFrame} from './frame.js';
+import type {Link} from './link.js';
+import {windowBytes} from './link-limits.js';
+
+const noLoad: LoadReport = {inFlight: 0, queued: 0, slots: 0, serviceTime: 0, failureShare: 0};
+
+/** An attempt that a peer has sent to this node. */
+export class IncomingAttempt {
+	private readonly cancellation = new Cancellation();
+	private readonly receiver: BodyReceiver | undefined;
+	private sender: BodySender | undefined;
+
+	constructor(
+		private readonly link: Link,
+		private readonly frame: OpenFrame,
+		private readonly ended: () => void,
+	) {
+		if (!frame.body) {
+			this.receiver = new BodyReceiver(link, frame.stream, 0);
+			// A body that breaks off is told by the end of the attempt.
+			this.receiver.on('error', () => undefined);
+		}
+	}
+
+	/**
+	 * @param instance - the incarnation of the peer.
+	 * @param now - monotonic time in ms.
+	 * @param staleness - how long the frame may have waited unread, in ms.
+	 * @returns the attempt as the executor takes it.
+	 */
+	toAttempt(instance: string, now: Millis, staleness: Millis): Attempt {
+		const {sequence, share, timeLeft} = this.frame;
+		const {service, customer, method, path, headers, isIdempotent, key, fingerprint} = this.frame;
+		return {
+			id: {instance, sequence},
+			head: {service, customer, method, path, headers, isIdempotent, key, fingerprint},
+			share,
+			deadline: Deadline.in(now, timeLeft - staleness),
+			body: this.body(),
+			cancellation: this.cancellation,
+		};
+	}
+
+	/**
+	 * Runs the attempt and sends its end.
+	 * @param runner - who runs it.
+	 * @param attempt - the attempt.
+	 */
+	async run(runner: AttemptRunner, attempt: Attempt): Promise<void> {
+		const result = await runner.run(attempt);
+		this.sendResult(result);
+	}
+
+	/**
+	 * @param frame - a frame of this attempt's stream.
+	 * @returns false when the frame breaks the protocol.
+	 */
+	receive(frame: Frame): boolean {
+		switch (frame.type) {
+			case FrameType.Data: {
+				return this.receiver?.accept(frame.bytes) ?? false;
+			}
+
+			case FrameType.End: {
+				this.receiver?.finish(frame.trailers);
+				return true;
+			}
+
+			case FrameType.Failed: {
+				this.receiver?.fail();
+				return true;
+			}
+
+			case FrameType.Credit: {
+				this.sender?.grant(frame.bytes);
+				return true;
+			}
+
+			case FrameType.Cancel: {
+				this.cancel();
+				return true;
+			}
+
+			default: {
+				return false;
+			}
+		}
+	}
+
+	/** The peer can no longer be heard. What may not run twice goes on, as it may have run. */
+	lose(): void {
+		this.receiver?.fail();
+		this.sender?.cancel();
+		if (this.frame.isIdempotent) {
+			this.cancellation.cancel();
+		}
+	}
+
+	private cancel(): void {
+		this.sender?.cancel();
+		this.cancellation.cancel();
+	}
+
+	private body(): Body {
+		if (this.receiver) {
+			return createStreamBody(this.receiver, this.receiver.trailers);
+		}
+
+		return createWholeBody(this.frame.body ?? new Uint8Array());
+	}
+
+	private sendResult(result: AttemptResult): void {
+		const {stream} = this.frame;
+		switch (result.end) {
+			case AttemptEnd.Answered: {
+				this.sendAnswer(result);
+				break;
+			}
+
+			case AttemptEnd.Refused: {
+				const {reason, load} = result;
+				this.link.send({type: FrameType.Refused, stream, reason, load});
+				this.ended();
+				break;
+			}
+
+			case AttemptEnd.Unknown: {
+				this.link.send({type: FrameType.Failed, stream, reason: result.reason});
+				this.ended();
+				break;
+			}
+		}
+	}
+
+	private sendAnswer(result: AnsweredAttempt): void {
+		const {status, headers, body} = result;
+		const load = result.load ?? noLoad;
+		const {stream} = this.frame;
+		const {bytes, trailers} = body;
+		this.link.send({type: FrameType.Answer, stream, status, headers, load, body: bytes, trailers});
+		if (body.stream) {
+			this.sender = new BodySender({
+				link: this.link,
+				stream,
+				source: body.stream,
+				trailers,
+				initialCredit: windowBytes,
+				finished: this.ended,
+			});
+			this.sender.grant(0);
+		} else {
+			this.ended();
+		}
+	}
+}
--- /dev/null
+++ b/src/link/link.ts
@@ -0,0 +1,251 @@
+import {WebSocket} from 'ws';
+import {createActor} from 'xstate';
+import type {Clock, Millis} from '../clock/index.js';
+import {TrafficKind} from '../telemetry/index.js';
+import {
+	FrameType,
+	protocolVersion,
+	type Frame,
+	type HelloFrame,
+	type WelcomeFrame,
+} from './frame.js';
+import {decodeFrame, encodeFrame} from './frame-codec.js';
+import {createNonce, createProof, isProofValid} from './handshake.js';
+import {LinkEvent, linkMachine, LinkState} from './link-lifecycle.js';
+
+/** Which side opened the socket. */
+export enum LinkRole {
+	Dialer = 'dialer',
+	Acceptor = 'acceptor',
+}
+
+/** Why a link was closed from this side. The values are part of the metrics. */
+export enum LinkCloseReason {
+	BadFrame = 'bad-frame',
+	BadProof = 'bad-proof',
+	BadVersion = 'bad-version',
+	OutOfOrder = 'out-of-order',
+	OpenTimeout = 'open-timeout',
+	Silent = 'silent',
+	Replaced = 'replaced',
+	Stopping = 'stopping',
+	PeerClosed = 'peer-closed',
+}
+
+/** Who a node is, towards its peers. */
+export interface PeerIdentity {
+	/** Address and link port. */
+	readonly id: string;
+	/** Unique for each start of the process. */
+	readonly instance: string;
+	readonly region: string;
+}
+
+/** What a link needs from its owner. */
+export interface LinkOwner {
+	readonly identity: PeerIdentity;
+	readonly secret: string;
+	readonly clock: Clock;
+	/** The peer has proved who it is. */
+	linkOpened(link: Link): void;
+	/** A frame of an open link. */
+	frameReceived(link: Link, frame: Frame): void;
+	linkClosed(link: Link, reason: LinkCloseReason): void;
+	bytesSent(link: Link, bytes: number, kind: TrafficKind): void;
+}
+
+const normalClosure = 1000;
+
+const callFrames: ReadonlySet<FrameType> = new Set([
+	FrameType.Open,
+	FrameType.Data,
+	FrameType.End,
+	FrameType.Answer,
+]);
+
+/** One connection to a peer, over which many calls travel at once. */
+export class Link {
+	private readonly lifecycle = createActor(linkMachine).start();
+	private readonly nonce = createNonce();
+	private remote: PeerIdentity | undefined;
+	private heardAt: Millis;
+	private sentAt: Millis;
+	private nextStream: number;
+	private reason = LinkCloseReason.PeerClosed;
+
+	constructor(
+		private readonly socket: WebSocket,
+		private readonly role: LinkRole,
+		private readonly owner: LinkOwner,
+	) {
+		const now = owner.clock.now();
+		this.heardAt = now;
+		this.sentAt = now;
+		this.nextStream = role === LinkRole.Dialer ? 0 : 1;
+		this.listen();
+		if (role === LinkRole.Acceptor) {
+			this.send({type: FrameType.Challenge, version: protocolVersion, nonce: this.nonce});
+		}
+	}
+
+	get isOpen(): boolean {
+		return this.lifecycle.getSnapshot().value === LinkState.Open;
+	}
+
+	/** Who is at the other side; undefined until proved. */
+	get peer(): PeerIdentity | undefined {
+		return this.remote;
+	}
+
+	/** When the peer last sent something. */
+	get lastHeard(): Millis {
+		return this.heardAt;
+	}
+
+	/** When this side last sent something. */
+	get lastSent(): Millis {
+		return this.sentAt;
+	}
+
+	/** Bytes that the socket has not taken yet. */
+	get backlog(): number {
+		return this.socket.bufferedAmount;
+	}
+
+	/** @returns the number of a new stream; the two sides never choose the same. */
+	openStream(): number {
+		const stream = this.nextStream;
+		this.nextStream += 2;
+		return stream;
+	}
+
+	/**
+	 * @param stream - number of a stream.
+	 * @returns whether this side opened it.
+	 */
+	isOwnStream(stream: number): boolean {
+		return stream % 2 === (this.role === LinkRole.Dialer ? 0 : 1);
+	}
+
+	/**
+	 * @param frame - what to send; dropped when the link is closed.
+	 */
+	send(frame: Frame): void {
+		if (this.socket.readyState !== WebSocket.OPEN) {
+			return;
+		}
+
+		const bytes = encodeFrame(frame);
+		this.socket.send(bytes);
+		this.sentAt = this.owner.clock.now();
+		const kind = callFrames.has(frame.type) ? TrafficKind.Call : TrafficKind.Control;
+		this.owner.bytesSent(this, bytes.length, kind);
+	}
+
+	/**
+	 * Closes the link at once.
+	 * @param reason - for the metrics and the log.
+	 */
+	close(reason: LinkCloseReason): void {
+		this.reason = reason;
+		if (reason === LinkCloseReason.Stopping) {
+			this.socket.close(normalClosure);
+		} else {
+			this.socket.terminate();
+		}
+	}
+
+	private listen(): void {
+		this.socket.on('message', (data, isBinary) => {
+			if (isBinary && data instanceof Uint8Array) {
+				this.receive(data);
+			} else {
+				this.close(LinkCloseReason.BadFrame);
+			}
+		});
+		this.socket.on('error', () => {
+			this.socket.terminate();
+		});
+		this.socket.once('close', () => {
+			this.lifecycle.send({type: LinkEvent.Ended});
+			this.owner.linkClosed(this, this.reason);
+		});
+	}
+
+	private receive(data: Uint8Array): void {
+		this.heardAt = this.owner.clock.now();
+		let frame: Frame;
+		try {
+			frame = decodeFrame(data);
+		} catch {
+			this.close(LinkCloseReason.BadFrame);
+			return;
+		}
+
+		if (this.isOpen) {
+			this.owner.frameReceived(this, frame);
+		} else {
+			this.authenticate(frame);
+		}
+	}
+
+	private authenticate(frame: Frame): void {
+		if (frame.type === FrameType.Challenge && this.role === LinkRole.Dialer) {
+			this.sayHello(frame.version, frame.nonce);
+		} else if (frame.type === FrameType.Hello && this.role === LinkRole.Acceptor) {
+			this.takeHello(frame);
+		} else if (frame.type === FrameType.Welcome && this.role === LinkRole.Dialer) {
+			this.takeIdentity(frame);
+		} else {
+			this.close(LinkCloseReason.OutOfOrder);
+		}
+	}
+
+	private sayHello(version: number, challenge: string): void {
+		if (version !== protocolVersion) {
+			this.close(LinkCloseReason.BadVersion);
+			return;
+		}
+
+		const {id, instance, region} = this.owner.identity;
+		const proof = this.prove(challenge, LinkRole.Dialer, this.owner.identity);
+		const {nonce} = this;
+		this.send({type: FrameType.Hello, version, id, instance, region, nonce, proof});
+	}
+
+	private takeHello(frame: HelloFrame): void {
+		if (frame.version !== protocolVersion) {
+			this.close(LinkCloseReason.BadVersion);
+			return;
+		}
+
+		if (this.takeIdentity(frame)) {
+			const proof = this.prove(frame.nonce, LinkRole.Acceptor, this.owner.identity);
+			this.send({type: FrameType.Welcome, ...this.owner.identity, proof});
+			this.owner.linkOpened(this);
+		}
+	}
+
+	private takeIdentity(frame: HelloFrame | WelcomeFrame): boolean {
+		const {id, instance, region} = frame;
+		const peerRole = this.role === LinkRole.Dialer ? LinkRole.Acceptor : LinkRole.Dialer;
+		const expected = this.prove(this.nonce, peerRole, frame);
+		if (!isProofValid(expected, frame.proof)) {
+			this.close(LinkCloseReason.BadProof);
+			return false;
+		}
+
+		this.remote = {id, instance, region};
+		this.lifecycle.send({type: LinkEvent.Proved});
+		if (this.role === LinkRole.Dialer) {
+			this.owner.linkOpened(this);
+		}
+
+		return true;
+	}
+
+	private prove(nonce: string, role: LinkRole, identity: PeerIdentity): string {
+		const {id, instance, region} = identity;
+		return createProof(this.owner.secret, nonce, [role, id, instance, region].join('\n'));
+	}
+}
--- /dev/null
+++ b/src/membership/gossip-codec.ts
@@ -0,0 +1,280 @@
+import {Packr} from 'msgpackr';
+import {
+	GossipType,
+	RumorKind,
+	type BriefUpdate,
+	type GossipMessage,
+	type Piggyback,
+	type RevisionNews,
+	type Rumor,
+	type Sender,
+} from './gossip-message.js';
+import {Liveness, MemberPhase, type Member} from './member.js';
+
+/** A datagram that is no gossip message. */
+export class GossipDecodeError extends Error {
+	override name = 'GossipDecodeError';
+}
+
+const phases = [
+	MemberPhase.Joining,
+	MemberPhase.Serving,
+	MemberPhase.Draining,
+	MemberPhase.Left,
+] as const;
+const livenesses = [Liveness.Alive, Liveness.Suspect, Liveness.Dead] as const;
+const rumorKinds = [RumorKind.Crash, RumorKind.HoldLifted, RumorKind.Handover] as const;
+const gossipTypes = [
+	GossipType.Ping,
+	GossipType.Ack,
+	GossipType.PingRequest,
+	GossipType.Digest,
+	GossipType.Entries,
+	GossipType.Held,
+] as const;
+const packr = new Packr({useRecords: false});
+const briefBytes = 9;
+const hashBytes = 6;
+const livenessFactor = 16;
+const maxBriefVersion = 0xff_ff;
+
+type Packed = readonly unknown[];
+
+function packBrief(updates: readonly BriefUpdate[]): Uint8Array {
+	const bytes = new Uint8Array(updates.length * briefBytes);
+	const view = new DataView(bytes.buffer);
+	for (const [i, update] of updates.entries()) {
+		const at = i * briefBytes;
+		view.setUint16(at, Math.floor(update.hash / 2 ** 32));
+		view.setUint32(at + 2, update.hash % 2 ** 32);
+		view.setUint8(at + hashBytes, update.liveness * livenessFactor + update.phase);
+		view.setUint16(at + hashBytes + 1, Math.min(update.version, maxBriefVersion));
+	}
+
+	return bytes;
+}
+
+function unpackBrief(packed: unknown): BriefUpdate[] {
+	if (!(packed instanceof Uint8Array) || packed.length % briefBytes !== 0) {
+		throw new GossipDecodeError('brief updates have a wrong length');
+	}
+
+	const view = new DataView(packed.buffer, packed.byteOffset, packed.length);
+	const updates: BriefUpdate[] = [];
+	for (let at = 0; at < packed.length; at += briefBytes) {
+		const state = view.getUint8(at + hashBytes);
+		updates.push({
+			hash: view.getUint16(at) * 2 ** 32 + view.getUint32(at + 2),
+			liveness: asEnum(Math.floor(state / livenessFactor), livenesses),
+			phase: asEnum(state % livenessFactor, phases),
+			version: view.getUint16(at + hashBytes + 1),
+		});
+	}
+
+	return updates;
+}
+
+function packMember(member: Member): Packed {
+	return [
+		member.id,
+		member.incarnation,
+		member.version,
+		member.phase,
+		member.liveness,
+		member.region,
+		member.zone,
+		member.service,
+		member.slots,
+	];
+}
+
+function asText(value: unknown): string {
+	if (typeof value !== 'string') {
+		throw new GossipDecodeError('a text was expected');
+	}
+
+	return value;
+}
+
+function asCount(value: unknown): number {
+	const number = typeof value === 'bigint' ? Number(value) : value;
+	if (typeof number !== 'number' || !Number.isSafeInteger(number) || number < 0) {
+		throw new GossipDecodeError('a whole number from 0 was expected');
+	}
+
+	return number;
+}
+
+function asEnum<T extends number>(value: unknown, values: readonly T[]): T {
+	const found = values[asCount(value)];
+	if (found === undefined) {
+		throw new GossipDecodeError('an enum value is out of bounds');
+	}
+
+	return found;
+}
+
+function asList(value: unknown): readonly unknown[] {
+	if (!Array.isArray(value)) {
+		throw new GossipDecodeError('a list was expected');
+	}
+
+	return value;
+}
+
+function unpackMember(packed: unknown): Member {
+	const fields = asList(packed);
+	return {
+		id: asText(fields[0]),
+		incarnation: asCount(fields[1]),
+		version: asCount(fields[2]),
+		phase: asEnum(fields[3], phases),
+		liveness: asEnum(fields[4], livenesses),
+		region: asText(fields[5]),
+		zone: asText(fields[6]),
+		service: asText(fields[7]),
+		slots: asCount(fields[8]),
+	};
+}
+
+function packNews(news: RevisionNews): Packed {
+	return [news.accepted, news.acceptedHash, news.staged, news.stagedHash];
+}
+
+function unpackNews(packed: unknown): RevisionNews {
+	const fields = asList(packed);
+	return {
+		accepted: asCount(fields[0]),
+		acceptedHash: asText(fields[1]),
+		staged: asCount(fields[2]),
+		stagedHash: asText(fields[3]),
+	};
+}
+
+function unpackRumor(packed: unknown): Rumor {
+	const fields = asList(packed);
+	return {
+		id: asText(fields[0]),
+		kind: asEnum(fields[1], rumorKinds),
+		fields: asList(fields[2]).map((field) => asText(field)),
+	};
+}
+
+function packPiggyback(piggyback: Piggyback): Packed {
+	return [
+		packBrief(piggyback.brief),
+		piggyback.full.map((member) => packMember(member)),
+		piggyback.rumors.map((rumor) => [rumor.id, rumor.kind, rumor.fields]),
+		packNews(piggyback.news),
+	];
+}
+
+function unpackPiggyback(packed: unknown): Piggyback {
+	const fields = asList(packed);
+	return {
+		brief: unpackBrief(fields[0]),
+		full: asList(fields[1]).map((member) => unpackMember(member)),
+		rumors: asList(fields[2]).map((rumor) => unpackRumor(rumor)),
+		news: unpackNews(fields[3]),
+	};
+}
+
+function packBody(message: GossipMessage): Packed {
+	switch (message.type) {
+		case GossipType.Ping: {
+			return [message.sequence, packPiggyback(message.piggyback)];
+		}
+
+		case GossipType.Ack: {
+			return [message.sequence, message.subject, packPiggyback(message.piggyback)];
+		}
+
+		case GossipType.PingRequest: {
+			return [message.sequence, message.target];
+		}
+
+		case GossipType.Digest: {
+			return [packMember(message.self), message.checksums];
+		}
+
+		case GossipType.Entries: {
+			return [message.members.map((member) => packMember(member)), packNews(message.news)];
+		}
+
+		case GossipType.Held: {
+			return [message.revision];
+		}
+	}
+}
+
+function unpackChecksums(packed: unknown): Uint32Array {
+	if (!(packed instanceof Uint32Array)) {
+		throw new GossipDecodeError('checksums were expected');
+	}
+
+	return packed;
+}
+
+function unpackBody(type: GossipType, sender: Sender, body: Packed): GossipMessage {
+	switch (type) {
+		case GossipType.Ping: {
+			return {type, sender, sequence: asCount(body[0]), piggyback: unpackPiggyback(body[1])};
+		}
+
+		case GossipType.Ack: {
+			const subject = asText(body[1]);
+			const piggyback = unpackPiggyback(body[2]);
+			return {type, sender, sequence: asCount(body[0]), subject, piggyback};
+		}
+
+		case GossipType.PingRequest: {
+			return {type, sender, sequence: asCount(body[0]), target: asText(body[1])};
+		}
+
+		case GossipType.Digest: {
+			const checksums = unpackChecksums(body[1]);
+			return {type, sender, self: unpackMember(body[0]), checksums};
+		}
+
+		case GossipType.Entries: {
+			const members = asList(body[0]).map((member) => unpackMember(member));
+			return {type, sender, members, news: unpackNews(body[1])};
+		}
+
+		case GossipType.Held: {
+			return {type, sender, revision: asCount(body[0])};
+		}
+	}
+}
+
+/**
+ * @param message - what to send.
+ * @returns the bytes of a datagram.
+ */
+export function encodeGossip(message: GossipMessage): Uint8Array {
+	const {id, incarnation, version} = message.sender;
+	return packr.pack([message.type, id, incarnation, version, packBody(message)]);
+}
+
+/**
+ * @param bytes - a datagram.
+ * @returns the message.
+ * @throws {@link GossipDecodeError} when the bytes are no gossip message.
+ */
+export function decodeGossip(bytes: Uint8Array): GossipMessage {
+	let packed: unknown;
+	try {
+		packed = packr.unpack(bytes);
+	} catch (err) {
+		throw new GossipDecodeError('not msgpack', {cause: err});
+	}
+
+	const fields = asList(packed);
+	const type = asEnum(fields[0], gossipTypes);
+	const sender = {
+		id: asText(fields[1]),
+		incarnation: asCount(fields[2]),
+		version: asCount(fields[3]),
+	};
+	return unpackBody(type, sender, asList(fields[4]));
+}
--- /dev/null
+++ b/src/membership/gossip-settings.ts
@@ -0,0 +1,50 @@
+import {minute, second, type Millis} from '../clock/index.js';
+
+/** Rates and limits of the gossip. */
+export interface GossipSettings {
+	/** Time between two probes of this node. */
+	readonly probePeriod: Millis;
+	/** How long a direct probe may take. */
+	readonly directTimeout: Millis;
+	/** How long an indirect probe may take. */
+	readonly indirectTimeout: Millis;
+	/** Members that are asked to probe for this node. */
+	readonly indirectProbes: number;
+	/** How long a member is suspected before it counts as dead. */
+	readonly suspicionTime: Millis;
+	/** Time between two digests. */
+	readonly digestPeriod: Millis;
+	/** Time between two probes of members that count as dead. */
+	readonly reachOutPeriod: Millis;
+	/** How long a dead member is remembered, so that old accounts don't bring it back. */
+	readonly tombstoneTime: Millis;
+	/** Share of probes that leave the zone, from 0 to 1. */
+	readonly otherZoneShare: number;
+	/** Share of probes that leave the region, from 0 to 1. */
+	readonly otherRegionShare: number;
+	/** Bytes of news on one probe. */
+	readonly piggybackBytes: number;
+	/** How often each piece of news is sent. */
+	readonly copies: number;
+	/** Pieces of news kept at the most. */
+	readonly queueCapacity: number;
+	/** A tick that comes this much late tells of a pause of the process. */
+	readonly pauseThreshold: Millis;
+}
+
+export const defaultGossipSettings: GossipSettings = {
+	probePeriod: 200,
+	directTimeout: 80,
+	indirectTimeout: 150,
+	indirectProbes: 3,
+	suspicionTime: 2 * second,
+	digestPeriod: 10 * second,
+	reachOutPeriod: 2 * second,
+	tombstoneTime: 10 * minute,
+	otherZoneShare: 0.18,
+	otherRegionShare: 0.04,
+	piggybackBytes: 720,
+	copies: 5,
+	queueCapacity: 20_000,
+	pauseThreshold: 600,
+};
--- /dev/null
+++ b/src/membership/probe-targets.ts
@@ -0,0 +1,110 @@
+import {sample, type Random} from '../random/index.js';
+import type {Directory} from './directory.js';
+import type {GossipSettings} from './gossip-settings.js';
+import {isPresent, type Member} from './member.js';
+
+/** How far a member is from this node. */
+export enum Distance {
+	SameZone = 0,
+	SameRegion = 1,
+	OtherRegion = 2,
+}
+
+/**
+ * @param a - one place.
+ * @param b - another place.
+ * @returns how far the two are apart.
+ */
+export function distanceBetween(
+	a: Pick<Member, 'region' | 'zone'>,
+	b: Pick<Member, 'region' | 'zone'>,
+): Distance {
+	if (a.region !== b.region) {
+		return Distance.OtherRegion;
+	}
+
+	return a.zone === b.zone ? Distance.SameZone : Distance.SameRegion;
+}
+
+/**
+ * Picks whom to probe: each ring is walked in random order, so that every member is probed once a
+ * round, and most probes stay in the zone.
+ */
+export class ProbeTargets {
+	private readonly rings: string[][] = [[], [], []];
+
+	constructor(
+		private readonly self: () => Member,
+		private readonly directory: Directory,
+		private readonly settings: GossipSettings,
+		private readonly random: Random,
+	) {}
+
+	/** @returns the next member to probe; undefined when there is none. */
+	next(): Member | undefined {
+		const wanted = this.drawDistance();
+		for (const distance of [wanted, Distance.SameZone, Distance.SameRegion, Distance.OtherRegion]) {
+			const target = this.nextOf(distance);
+			if (target) {
+				return target;
+			}
+		}
+
+		return undefined;
+	}
+
+	/**
+	 * @param count - how many are wanted.
+	 * @param except - a member that must not be among them.
+	 * @returns members that could probe in this node's place, from its region where possible.
+	 */
+	helpers(count: number, except: Member): Member[] {
+		const near: Member[] = [];
+		for (const member of this.directory.all()) {
+			const isCandidate = member.id !== except.id && member.id !== this.self().id;
+			if (isCandidate && isPresent(member) && member.region === this.self().region) {
+				near.push(member);
+			}
+		}
+
+		return sample(near, count, this.random);
+	}
+
+	private drawDistance(): Distance {
+		const draw = this.random.next();
+		const {otherRegionShare, otherZoneShare} = this.settings;
+		if (draw < otherRegionShare) {
+			return Distance.OtherRegion;
+		}
+
+		return draw < otherRegionShare + otherZoneShare ? Distance.SameRegion : Distance.SameZone;
+	}
+
+	private nextOf(distance: Distance): Member | undefined {
+		const ring = this.rings[distance]!;
+		if (ring.length === 0) {
+			this.refill(distance);
+		}
+
+		while (ring.length > 0) {
+			const member = this.directory.get(ring.pop()!);
+			if (member && isPresent(member)) {
+				return member;
+			}
+		}
+
+		return undefined;
+	}
+
+	private refill(distance: Distance): void {
+		const ids: string[] = [];
+		for (const member of this.directory.all()) {
+			const isOther = member.id !== this.self().id && isPresent(member);
+			if (isOther && distanceBetween(this.self(), member) === distance) {
+				ids.push(member.id);
+			}
+		}
+
+		this.rings[distance]!.push(...sample(ids, ids.length, this.random));
+	}
+}
--- /dev/null
+++ b/src/random/index.ts
@@ -0,0 +1,1 @@
+export {createRandom, sample, type Random} from './random.js';
--- /dev/null
+++ b/src/random/random.ts
@@ -0,0 +1,44 @@
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+/** Source of random numbers; seeded, so that a run can be repeated. */
+export interface Random {
+	/** @returns a number from 0 (included) to 1 (excluded). */
+	next(): number;
+	/**
+	 * @param bound - the excluded upper bound; at least 1.
+	 * @returns a whole number from 0 to `bound - 1`.
+	 */
+	below(bound: number): number;
+}
+
+const resolution = 2 ** 30;
+
+/**
+ * @param seed - any whole number.
+ * @returns a generator that yields the same numbers for the same seed.
+ */
+export function createRandom(seed: number): Random {
+	const generator = xoroshiro128plus(seed);
+	return {
+		next: () => uniformInt(generator, 0, resolution - 1) / resolution,
+		below: (bound) => uniformInt(generator, 0, bound - 1),
+	};
+}
+
+/**
+ * @param items - what to draw from.
+ * @param count - how many to draw at the most.
+ * @param random - the source of random numbers.
+ * @returns distinct items in random order.
+ */
+export function sample<T>(items: readonly T[], count: number, random: Random): T[] {
+	const pool = [...items];
+	const size = Math.min(count, pool.length);
+	for (let i = 0; i < size; i++) {
+		const j = i + random.below(pool.length - i);
+		[pool[i], pool[j]] = [pool[j]!, pool[i]!];
+	}
+
+	return pool.slice(0, size);
+}
--- /dev/null
+++ b/src/settings/endpoint.ts
@@ -0,0 +1,29 @@
+import {isIP} from 'node:net';
+
+/** An IP number and a port. */
+export interface Endpoint {
+	readonly address: string;
+	readonly port: number;
+}
+
+const maxPort = 65_535;
+
+/**
+ * @param text - `IP:port`.
+ * @returns the endpoint, or undefined when the text is none.
+ */
+export function parseEndpoint(text: string): Endpoint | undefined {
+	const at = text.lastIndexOf(':');
+	const address = text.slice(0, Math.max(0, at));
+	const port = Number(text.slice(at + 1));
+	const isPort = Number.isInteger(port) && port > 0 && port <= maxPort;
+	return isIP(address) > 0 && isPort ? {address, port} : undefined;
+}
+
+/**
+ * @param endpoint - what to write.
+ * @returns `IP:port`.
+ */
+export function formatEndpoint(endpoint: Endpoint): string {
+	return `${endpoint.address}:${endpoint.port}`;
+}
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,2 @@
+export {formatEndpoint, parseEndpoint, type Endpoint} from './endpoint.js';
+export {parseNodeSettings, type NodeSettings} from './node-settings.js';
--- /dev/null
+++ b/src/settings/node-settings.ts
@@ -0,0 +1,120 @@
+import {isIP} from 'node:net';
+import {second, type Millis} from '../clock/index.js';
+import {
+	FindingsError,
+	parseIni,
+	reportUnknownSections,
+	SectionReader,
+	type Finding,
+} from '../ini/index.js';
+import {LogForm, LogLevel} from '../telemetry/index.js';
+import {parseEndpoint, type Endpoint} from './endpoint.js';
+
+/** What a node learns from its settings file. */
+export interface NodeSettings {
+	/** IP number on which the node listens. */
+	readonly address: string;
+	/** IP number under which peers reach the node. */
+	readonly advertise: string;
+	readonly callerPort: number;
+	/** TCP port of links and UDP port of gossip. */
+	readonly linkPort: number;
+	readonly operatorPort: number;
+	readonly region: string;
+	readonly zone: string;
+	readonly seeds: readonly Endpoint[];
+	readonly secret: string;
+	readonly store: Endpoint | undefined;
+	readonly stopTimeout: Millis;
+	readonly logForm: LogForm;
+	readonly logLevel: LogLevel;
+	/** Seed of the random numbers; undefined for one of its own. */
+	readonly randomSeed: number | undefined;
+}
+
+const knownSections = new Set(['node', 'peers', 'store', 'log']);
+const maxPort = 65_535;
+const minSecretLength = 8;
+const maxSeed = 2 ** 31;
+
+function readIp(reader: SectionReader, key: string, fallback?: string): string {
+	const value = reader.text(key, fallback);
+	if (value !== '' && isIP(value) === 0) {
+		reader.report(key, `"${value}" is not an IP number`, 'names are not looked up');
+	}
+
+	return value;
+}
+
+function readEndpoints(reader: SectionReader, key: string): Endpoint[] {
+	const endpoints: Endpoint[] = [];
+	for (const item of reader.list(key)) {
+		const endpoint = parseEndpoint(item);
+		if (endpoint) {
+			endpoints.push(endpoint);
+		} else {
+			reader.report(key, `"${item}" is not IP:port`, 'as in 10.0.0.1:7001');
+		}
+	}
+
+	return endpoints;
+}
+
+function readSeed(reader: SectionReader): number | undefined {
+	const seed = reader.integer('random-seed', {min: 0, max: maxSeed, fallback: 0});
+	return seed === 0 ? undefined : seed;
+}
+
+/**
+ * Reads and checks a node's settings as a whole.
+ * @param file - name for messages.
+ * @param text - content of the INI file.
+ * @returns the settings.
+ * @throws {@link FindingsError} with every finding.
+ */
+export function parseNodeSettings(file: string, text: string): NodeSettings {
+	const findings: Finding[] = [];
+	const document = parseIni(file, text, findings);
+	reportUnknownSections(document, (name) => knownSections.has(name), findings);
+	const node = new SectionReader(document, 'node', findings);
+	const peers = new SectionReader(document, 'peers', findings);
+	const store = new SectionReader(document, 'store', findings);
+	const log = new SectionReader(document, 'log', findings);
+	const port = (key: string, fallback: number) =>
+		node.integer(key, {min: 1, max: maxPort, fallback});
+	const address = readIp(node, 'address');
+	const secret = peers.text('secret');
+	if (secret !== '' && secret.length < minSecretLength) {
+		peers.report('secret', 'is too short', `give ${minSecretLength} characters or more`);
+	}
+
+	const settings: NodeSettings = {
+		address,
+		advertise: readIp(node, 'advertise', address),
+		callerPort: port('caller-port', 7000),
+		linkPort: port('link-port', 7001),
+		operatorPort: port('operator-port', 7002),
+		region: node.text('region'),
+		zone: node.text('zone'),
+		stopTimeout: node.duration('stop-timeout', {
+			min: second,
+			max: 600 * second,
+			fallback: 60 * second,
+		}),
+		randomSeed: readSeed(node),
+		seeds: readEndpoints(peers, 'seeds'),
+		secret,
+		store: readEndpoints(store, 'address')[0],
+		logForm: log.choice('form', Object.values(LogForm), LogForm.Json),
+		logLevel: log.choice('level', Object.values(LogLevel), LogLevel.Info),
+	};
+	for (const reader of [node, peers, store, log]) {
+		reader.finish();
+	}
+
+	if (findings.length > 0) {
+		throw new FindingsError(findings);
+	}
+
+	return settings;
+}
--- /dev/null
+++ b/src/telemetry/index.ts
@@ -0,0 +1,3 @@
+export {logEvents, LogLevel, type LogEvent} from './log-event.js';
+export {createLogger, LogForm, silentLogger, type LogDetails, type Logger} from './logger.js';
+export {Metrics, RetryReason, TrafficKind} from './metrics.js';
--- /dev/null
+++ b/src/telemetry/log-event.ts
@@ -0,0 +1,84 @@
+/** How serious a log event is; the names are those of the log library. */
+export enum LogLevel {
+	Error = 'error',
+	Warn = 'warn',
+	Info = 'info',
+	Debug = 'debug',
+}
+
+/** One numbered event of the log catalogue. */
+export interface LogEvent {
+	readonly number: number;
+	readonly name: string;
+	readonly level: LogLevel;
+	readonly text: string;
+}
+
+function event(number: number, name: string, level: LogLevel, text: string): LogEvent {
+	return {number, name, level, text};
+}
+
+const {Error: error, Warn: warn, Info: info, Debug: debug} = LogLevel;
+
+/** The catalogue of log events. A number is never given to another event. */
+export const logEvents = {
+	nodeStarted: event(100, 'node-started', info, 'The node listens on its ports.'),
+	nodeReady: event(101, 'node-ready', info, 'The node has a configuration and a membership.'),
+	nodeDraining: event(
+		102,
+		'node-draining',
+		info,
+		'The node takes no new work and finishes its own.',
+	),
+	nodeStopped: event(103, 'node-stopped', info, 'The node has stopped; nothing was in flight.'),
+	nodePaused: event(104, 'node-paused', warn, 'The process was not scheduled for a while.'),
+	nodeStopForced: event(
+		105,
+		'node-stop-forced',
+		error,
+		'The stop timeout passed with calls in flight.',
+	),
+	unexpectedError: event(106, 'unexpected-error', error, 'A fault of the program was caught.'),
+	backendAnnounced: event(200, 'backend-announced', info, 'A backend server announced itself.'),
+	backendGone: event(201, 'backend-gone', warn, 'The backend server no longer announces itself.'),
+	backendDraining: event(202, 'backend-draining', info, 'The backend server takes no new work.'),
+	backendCrashed: event(
+		203,
+		'backend-crashed',
+		error,
+		'The backend server broke off calls in flight.',
+	),
+	linkOpened: event(300, 'link-opened', debug, 'A link to a peer is open.'),
+	linkClosed: event(301, 'link-closed', debug, 'A link to a peer has closed.'),
+	linkRejected: event(302, 'link-rejected', warn, 'A peer was turned away.'),
+	frameRejected: event(
+		303,
+		'frame-rejected',
+		warn,
+		'A frame could not be decoded; the link is closed.',
+	),
+	memberChanged: event(400, 'member-changed', info, 'A member changed its state.'),
+	datagramRejected: event(401, 'datagram-rejected', debug, 'A gossip datagram was dropped.'),
+	revisionHeld: event(500, 'revision-held', info, 'The node holds a configuration revision.'),
+	revisionInForce: event(
+		501,
+		'revision-in-force',
+		info,
+		'A configuration revision is in force here.',
+	),
+	revisionRejected: event(
+		502,
+		'revision-rejected',
+		error,
+		'A configuration revision could not be used.',
+	),
+	storeDown: event(600, 'store-down', warn, 'The platform store does not answer.'),
+	storeUp: event(601, 'store-up', info, 'The platform store answers again.'),
+	requestHeld: event(
+		700,
+		'request-held',
+		error,
+		'A request that crashes backend servers is held back.',
+	),
+	holdLifted: event(701, 'hold-lifted', info, 'A request is no longer held back.'),
+} as const;
--- /dev/null
+++ b/src/telemetry/logger.ts
@@ -0,0 +1,61 @@
+import winston from 'winston';
+import type {LogEvent} from './log-event.js';
+
+/** How log lines are written. */
+export enum LogForm {
+	Json = 'json',
+	Human = 'human',
+}
+
+/** Details of one occurrence of an event. */
+export type LogDetails = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Writes numbered events. */
+export interface Logger {
+	/**
+	 * @param event - an entry of the catalogue.
+	 * @param details - what is particular to this occurrence.
+	 */
+	log(event: LogEvent, details?: LogDetails): void;
+}
+
+function humanLine(info: winston.Logform.TransformableInfo): string {
+	const {timestamp, level, message, number, event, ...details} = info;
+	const pairs = Object.entries(details).map(([name, value]) => `${name}=${String(value)}`);
+	return [timestamp, level, `TM${String(number)}`, event, message, ...pairs].join(' ');
+}
+
+/**
+ * @param form - JSON for programs, one readable line for people.
+ * @param level - the least serious level that is written.
+ * @returns a logger that writes to standard error.
+ */
+export function createLogger(form: LogForm, level: string): Logger {
+	const {combine, json, printf, timestamp} = winston.format;
+	const line = form === LogForm.Json ? json() : printf(humanLine);
+	const target = winston.createLogger({
+		level,
+		format: combine(timestamp(), line),
+		transports: [
+			new winston.transports.Console({stderrLevels: ['error', 'warn', 'info', 'debug']}),
+		],
+	});
+	return {
+		log(event, details) {
+			target.log({
+				level: event.level,
+				message: event.text,
+				number: event.number,
+				event: event.name,
+				...details,
+			});
+		},
+	};
+}
+
+/** A logger that drops everything; for tests. */
+export const silentLogger: Logger = {
+	log() {
+		// Nothing is wanted here.
+	},
+};
--- /dev/null
+++ b/src/telemetry/metrics.ts
@@ -0,0 +1,142 @@
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {Outcome, RefusalReason} from '../call/index.js';
+
+/** Why a call was tried once more. */
+export enum RetryReason {
+	/** The executor proved that the attempt did not run. */
+	NotRun = 'not-run',
+	/** The attempt may have run, and the call is idempotent. */
+	IdempotentFailure = 'idempotent-failure',
+	/** A second attempt of an idempotent call was sent before the first had answered. */
+	Hedge = 'hedge',
+}
+
+/** What spends the budget of a link between regions or of a backend server. */
+export enum TrafficKind {
+	Call = 'call',
+	Control = 'control',
+}
+
+const latencyBuckets = [
+	0.0005, 0.001, 0.0017, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10,
+];
+
+/** All metrics of a node. */
+export class Metrics {
+	readonly registry = new Registry();
+	readonly calls = new Counter({
+		name: 'turmeric_calls_total',
+		help: 'Calls that ended at this ingress, by outcome.',
+		labelNames: ['outcome'],
+		registers: [this.registry],
+	});
+
+	readonly refusals = new Counter({
+		name: 'turmeric_refusals_total',
+		help: 'Calls refused to the caller, by reason.',
+		labelNames: ['reason'],
+		registers: [this.registry],
+	});
+
+	readonly attemptRefusals = new Counter({
+		name: 'turmeric_attempt_refusals_total',
+		help: 'Attempts refused by this executor, by reason.',
+		labelNames: ['reason'],
+		registers: [this.registry],
+	});
+
+	readonly retries = new Counter({
+		name: 'turmeric_retries_total',
+		help: 'Further attempts of a call, by reason.',
+		labelNames: ['reason'],
+		registers: [this.registry],
+	});
+
+	readonly attempts = new Counter({
+		name: 'turmeric_attempts_total',
+		help: 'Attempts sent by this ingress.',
+		registers: [this.registry],
+	});
+
+	readonly lateAnswers = new Counter({
+		name: 'turmeric_late_answers_total',
+		help: 'Answers that came after their attempt had ended; they are dropped.',
+		registers: [this.registry],
+	});
+
+	readonly linkBytes = new Counter({
+		name: 'turmeric_link_bytes_total',
+		help: 'Bytes sent to peers, by region of the peer and kind.',
+		labelNames: ['region', 'kind'],
+		registers: [this.registry],
+	});
+
+	readonly linkRejects = new Counter({
+		name: 'turmeric_link_rejects_total',
+		help: 'Links closed or turned away, by reason.',
+		labelNames: ['reason'],
+		registers: [this.registry],
+	});
+
+	readonly gossipRejects = new Counter({
+		name: 'turmeric_gossip_rejects_total',
+		help: 'Gossip datagrams dropped, by reason.',
+		labelNames: ['reason'],
+		registers: [this.registry],
+	});
+
+	readonly probeTime = new Counter({
+		name: 'turmeric_probe_milliseconds_total',
+		help: 'Time that probes took at the backend server, in ms.',
+		registers: [this.registry],
+	});
+
+	readonly storeOperations = new Counter({
+		name: 'turmeric_store_operations_total',
+		help: 'Operations on the platform store, by kind and result.',
+		labelNames: ['kind', 'result'],
+		registers: [this.registry],
+	});
+
+	readonly inFlight = new Gauge({
+		name: 'turmeric_calls_in_flight',
+		help: 'Calls that this ingress has not answered yet.',
+		registers: [this.registry],
+	});
+
+	readonly members = new Gauge({
+		name: 'turmeric_members',
+		help: 'Members that this node knows, by liveness.',
+		labelNames: ['liveness'],
+		registers: [this.registry],
+	});
+
+	readonly revision = new Gauge({
+		name: 'turmeric_configuration_revision',
+		help: 'The configuration revision in force here.',
+		registers: [this.registry],
+	});
+
+	readonly duration = new Histogram({
+		name: 'turmeric_call_duration_seconds',
+		help: 'Time from the head of a request to the end of its answer, by outcome.',
+		labelNames: ['outcome'],
+		buckets: latencyBuckets,
+		registers: [this.registry],
+	});
+
+	constructor() {
+		for (const reason of Object.values(RefusalReason)) {
+			this.refusals.inc({reason}, 0);
+			this.attemptRefusals.inc({reason}, 0);
+		}
+
+		for (const reason of Object.values(RetryReason)) {
+			this.retries.inc({reason}, 0);
+		}
+
+		for (const outcome of Object.values(Outcome)) {
+			this.calls.inc({outcome}, 0);
+		}
+	}
+}
--- /dev/null
+++ b/src/util/index.ts
@@ -0,0 +1,3 @@
+export {hash32, hash48, hashBytes, rendezvous} from './hash.js';
+export {InvariantError, invariant} from './invariant.js';
+export {withResolvers, type Resolvable} from './with-resolvers.js';
--- /dev/null
+++ b/src/util/with-resolvers.ts
@@ -0,0 +1,14 @@
+/** A promise with the function that settles it. */
+export interface Resolvable<T> {
+	readonly promise: Promise<T>;
+	resolve(value: T): void;
+}
+
+/** @returns a promise that is settled from outside. */
+export function withResolvers<T>(): Resolvable<T> {
+	let settle: (value: T) => void = () => undefined;
+	const promise = new Promise<T>((resolve) => {
+		settle = resolve;
+	});
+	return {promise, resolve: settle};
+}
--- /dev/null
+++ b/xo.config.ts
@@ -0,0 +1,69 @@
+import {type FlatXoConfig} from 'xo';
+
+const hostFolders = [
+	'ingress',
+	'executor',
+	'link',
+	'store',
+	'telemetry',
+	'settings',
+	'wiring',
+	'bin',
+];
+
+const config: FlatXoConfig = [
+	{
+		ignores: ['dist', 'reports'],
+	},
+	{
+		prettier: 'compat',
+		rules: {
+			// House style: short names by custom.
+			'unicorn/prevent-abbreviations': 'off',
+			'unicorn/name-replacements': 'off',
+			// House style: `err` is the name of a caught error.
+			'unicorn/catch-error-name': ['error', {name: 'err'}],
+			'promise/prefer-await-to-then': 'off',
+		},
+	},
+	{
+		files: ['**/*.ts'],
+		rules: {
+			// House style: behaviour that varies is an interface with classes.
+			'@typescript-eslint/consistent-type-definitions': 'off',
+			// House style: data is an enum; node built-ins keep their names.
+			'@typescript-eslint/naming-convention': 'off',
+			'@typescript-eslint/switch-exhaustiveness-check': [
+				'error',
+				{considerDefaultExhaustiveForUnions: true},
+			],
+		},
+	},
+	{
+		// `xstate` takes the types of a machine from values that are cast.
+		files: ['**/*-lifecycle.ts'],
+		rules: {
+			'@typescript-eslint/consistent-type-assertions': 'off',
+			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+		},
+	},
+	{
+		// The core knows nothing of its hosts.
+		files: ['src/{call,backend,routing,membership,declaration,budget,clock,random}/**/*.ts'],
+		rules: {
+			'no-restricted-imports': [
+				'error',
+				{
+					patterns: [
+						{
+							group: [...hostFolders.map((folder) => `**/${folder}/*`), 'node:*', 'ws', 'undici'],
+							message: 'Aggregates import no host, socket or system clock.',
+						},
+					],
+				},
+			],
+		},
+	},
+];
+
+export default config;
