Keep the bound of forgotten attempts for as long as their sender is known

Cause: expire() dropped the whole book of a sender once its entries had run out, and with it the sequence number below which nothing may run any more. A late copy of an attempt was then admitted as new, and a question about it was answered 'fenced'. Ruled out: the order of entries within a book, which the shrunk case does not need (admit, run, expire, admit, run). Change: the book stays, only its entries go; senders are bounded by least recent use. Conclusion: a bound on memory may cost an answer, never the fence.

--- a/src/call/attempt-ledger.ts
+++ b/src/call/attempt-ledger.ts
@@ -16,10 +16,11 @@
 }
 
 type Entry = {state: AttemptState; at: Millis};
-type Book = {entries: Map<number, Entry>; forgottenBelow: number; lastUse: Millis};
+type Book = {entries: Map<number, Entry>; forgottenBelow: number};
 
 const retention: Millis = 2 * minute;
 const maxEntriesPerInstance = 50_000;
+/** Incarnations of peers that are remembered, the least recently heard going first. */
 const maxInstances = 20_000;
 
 /**
@@ -36,7 +37,7 @@
 	 * @returns whether it may go on; false when it is fenced, a copy or too old.
 	 */
 	admit(id: AttemptId, now: Millis): boolean {
-		const book = this.book(id.instance, now);
+		const book = this.book(id.instance);
 		if (id.sequence < book.forgottenBelow || book.entries.has(id.sequence)) {
 			return false;
 		}
@@ -78,7 +79,7 @@
 	 * @returns its state; `Fenced` and `Refused` prove that it did not run and never will.
 	 */
 	askAndFence(id: AttemptId, now: Millis): AttemptState {
-		const book = this.book(id.instance, now);
+		const book = this.book(id.instance);
 		if (id.sequence < book.forgottenBelow) {
 			return AttemptState.Forgotten;
 		}
@@ -101,7 +102,7 @@
 	 * @param now - monotonic time in ms.
 	 */
 	expire(now: Millis): void {
-		for (const [instance, book] of this.books) {
+		for (const book of this.books.values()) {
 			for (const [sequence, entry] of book.entries) {
 				if (now - entry.at < retention) {
 					break;
@@ -109,25 +110,19 @@
 
 				this.forget(book, sequence);
 			}
-
-			if (now - book.lastUse > retention * 2 && book.entries.size === 0) {
-				this.books.delete(instance);
-			}
 		}
 	}
 
-	private book(instance: string, now: Millis): Book {
-		let book = this.books.get(instance);
-		if (!book) {
-			if (this.books.size >= maxInstances) {
-				this.books.delete(this.books.keys().next().value!);
-			}
-
-			book = {entries: new Map<number, Entry>(), forgottenBelow: 0, lastUse: now};
-			this.books.set(instance, book);
+	// A book outlives its entries, as it keeps the bound below which nothing may run any more.
+	private book(instance: string): Book {
+		const known = this.books.get(instance);
+		const book = known ?? {entries: new Map<number, Entry>(), forgottenBelow: 0};
+		this.books.delete(instance);
+		this.books.set(instance, book);
+		if (this.books.size > maxInstances) {
+			this.books.delete(this.books.keys().next().value!);
 		}
 
-		book.lastUse = now;
 		return book;
 	}
 
