--- a/scaffold/deployment/caller.ts
+++ b/scaffold/deployment/caller.ts
@@ -62,7 +62,7 @@
 	try {
 		const res = await request(`http://${call.node}${call.path ?? '/'}`, {
 			dispatcher: agent,
-			method: (call.method ?? 'GET'),
+			method: call.method ?? 'GET',
 			headers,
 			body: call.body,
 		});
--- a/scaffold/deployment/deployment.ts
+++ b/scaffold/deployment/deployment.ts
@@ -79,8 +79,7 @@
 	constructor(
 		readonly plan: DeploymentPlan,
 		private readonly seed = 1,
-	) {
-}
+	) {}
 
 	/** Address of the store as a node of a zone sees it. */
 	get storeAddress(): string {
--- a/src/call/key-ledger.ts
+++ b/src/call/key-ledger.ts
@@ -57,8 +57,7 @@
 	private readonly records = new Map<string, KeyRecord<Answer>>();
 	private bytes = 0;
 
-	constructor(private readonly limits: KeyLedgerLimits) {
-}
+	constructor(private readonly limits: KeyLedgerLimits) {}
 
 	get size(): number {
 		return this.records.size;
--- a/src/claims/claim-writer.ts
+++ b/src/claims/claim-writer.ts
@@ -42,8 +42,7 @@
 	private readonly pending: Pending[] = [];
 	private isWriting = false;
 
-	constructor(private readonly parts: ClaimWriterParts) {
-}
+	constructor(private readonly parts: ClaimWriterParts) {}
 
 	/**
 	 * @param key - service, customer and idempotency key.
--- a/src/control/declaration-store.ts
+++ b/src/control/declaration-store.ts
@@ -38,8 +38,7 @@
 
 /** Reads and writes configuration revisions in the platform's store. */
 export class DeclarationStore {
-	constructor(private readonly store: TableService & ObjectStore) {
-}
+	constructor(private readonly store: TableService & ObjectStore) {}
 
 	/** @returns the head as it stands. */
 	async readHead(): Promise<HeadRow> {
--- a/src/control/revision-agent.ts
+++ b/src/control/revision-agent.ts
@@ -45,8 +45,7 @@
 	private readonly tellers = new Set<string>();
 	private isStopped = false;
 
-	constructor(private readonly parts: RevisionAgentParts) {
-}
+	constructor(private readonly parts: RevisionAgentParts) {}
 
 	/** Whether the node can know that no higher revision was accepted before it started. */
 	get isInformed(): boolean {
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -60,8 +60,7 @@
 	private readonly hedgeTimer = new HedgeTimer();
 	private sequence = 0;
 
-	constructor(private readonly parts: CallRunnerParts) {
-}
+	constructor(private readonly parts: CallRunnerParts) {}
 
 	/**
 	 * @param call - what to run.
--- a/src/node/announcement.ts
+++ b/src/node/announcement.ts
@@ -33,8 +33,7 @@
 class FieldReader {
 	readonly findings: Finding[] = [];
 
-	constructor(private readonly fields: Readonly<Record<string, unknown>>) {
-}
+	constructor(private readonly fields: Readonly<Record<string, unknown>>) {}
 
 	text(key: string, fallback?: string): string {
 		const value = this.fields[key] ?? fallback;
--- a/src/node/crash-watcher.ts
+++ b/src/node/crash-watcher.ts
@@ -31,8 +31,7 @@
 	private crashes = 0;
 	private lastCrash = Number.NEGATIVE_INFINITY;
 
-	constructor(private readonly parts: CrashWatcherParts) {
-}
+	constructor(private readonly parts: CrashWatcherParts) {}
 
 	isHeld(fingerprint: string): boolean {
 		return this.guard.isHeld(fingerprint, this.parts.clock.now());
--- a/src/node/link-budgets.ts
+++ b/src/node/link-budgets.ts
@@ -19,8 +19,7 @@
 export class LinkBudgets {
 	private readonly buckets = new Map<string, TokenBucket>();
 
-	constructor(private readonly parts: LinkBudgetsParts) {
-}
+	constructor(private readonly parts: LinkBudgetsParts) {}
 
 	/**
 	 * @param member - a member that is to be probed.
--- a/src/operator/change-applier.ts
+++ b/src/operator/change-applier.ts
@@ -64,8 +64,7 @@
 	constructor(
 		private readonly store: DeclarationStore,
 		private readonly clock: Clock,
-	) {
-}
+	) {}
 
 	/**
 	 * @param request - what the operator wants.
--- a/src/routing/baselines.ts
+++ b/src/routing/baselines.ts
@@ -5,8 +5,7 @@
 
 /** Chooses by chance. */
 export class RandomPolicy implements RoutingPolicy {
-	constructor(private readonly random: Random) {
-}
+	constructor(private readonly random: Random) {}
 
 	choose({candidates}: RoutingQuery): Member {
 		return candidates[this.random.below(candidates.length)]!;
@@ -43,8 +42,7 @@
 export class LeastOutstandingPolicy implements RoutingPolicy {
 	private readonly outstanding = new Map<string, number>();
 
-	constructor(private readonly random: Random) {
-}
+	constructor(private readonly random: Random) {}
 
 	choose({candidates}: RoutingQuery): Member {
 		const start = this.random.below(candidates.length);
--- a/src/routing/expected-wait-policy.ts
+++ b/src/routing/expected-wait-policy.ts
@@ -34,8 +34,7 @@
 export class ExpectedWaitPolicy implements RoutingPolicy {
 	private readonly views = new Map<string, ExecutorView>();
 
-	constructor(private readonly parts: Parts) {
-}
+	constructor(private readonly parts: Parts) {}
 
 	choose(query: RoutingQuery): Member {
 		const siblings = this.siblings(query.candidates);
--- a/src/store/circuit-breaker.ts
+++ b/src/store/circuit-breaker.ts
@@ -14,8 +14,7 @@
 	constructor(
 		private readonly clock: Pick<Clock, 'now'>,
 		private readonly random: Random,
-	) {
-}
+	) {}
 
 	/** Whether the store has not answered of late. */
 	get isOpen(): boolean {
--- a/tests/whole-path.test.ts
+++ b/tests/whole-path.test.ts
@@ -21,8 +21,8 @@
 		socket.setEncoding('utf8');
 		socket.on('data', (chunk: string) => chunks.push(chunk));
 		socket.once('close', () => {
- resolve(chunks.join('')); 
-});
+			resolve(chunks.join(''));
+		});
 		socket.once('error', reject);
 		socket.write(text);
 	});
