--- a/xo.config.ts
+++ b/xo.config.ts
@@ -24,6 +24,8 @@
 			// House style: `err` is the name of a caught error.
 			'unicorn/catch-error-name': ['error', {name: 'err'}],
 			'promise/prefer-await-to-then': 'off',
+			// The formatter decides where braces break.
+			'@stylistic/curly-newline': 'off',
 		},
 	},
 	{
