--- a/scaffold/deployment/deployment.ts
+++ b/scaffold/deployment/deployment.ts
@@ -1,5 +1,5 @@
 import {execFile} from 'node:child_process';
-import {mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {existsSync, mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {createServer, type Server} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -291,11 +291,29 @@
 
 	/**
 	 * @param pair - whose backend server.
-	 * @returns what it has run since its start.
+	 * @returns what it has run, over all its starts.
 	 */
-	async books(pair: Pair): Promise<Books> {
-		const url = `http://${pair.address}:${ports.backend}/stand-in/books`;
-		return JSON.parse(await fetchText(url)) as Books;
+	book(pair: Pair): BookEntry[] {
+		const file = this.bookFile(pair);
+		const lines = existsSync(file) ? readFileSync(file, 'utf8').split('\n') : [];
+		return lines.filter(Boolean).map((line) => JSON.parse(line) as BookEntry);
+	}
+
+	/**
+	 * @param callId - id of a call.
+	 * @returns how often it was run, by any backend server.
+	 */
+	runsOf(callId: string): number {
+		const entries = this.pairs.flatMap((pair) => this.book(pair));
+		return entries.filter((entry) => entry.callId === callId).length;
+	}
+
+	/**
+	 * @param pair - whose backend server.
+	 * @returns calls that run there now.
+	 */
+	async running(pair: Pair): Promise<number> {
+		return Number(await fetchText(`http://${pair.address}:${ports.backend}/stand-in/running`));
 	}
 
 	/**
@@ -310,6 +328,10 @@
 		return `http://${this.address(this.plan.storeOctet, 200)}:${ports.store}`;
 	}
 
+	private bookFile(pair: Pair): string {
+		return join(this.folder, `${pair.backend}.book`);
+	}
+
 	private servicePlan(name: string): ServicePlan {
 		return this.plan.services.find((service) => service.name === name)!;
 	}
@@ -397,15 +419,14 @@
 	}
 }
 
-/** What a backend server has run. */
-export interface Books {
+/** One request that a backend server has run. */
+export interface BookEntry {
+	/** Start of the backend server that ran it. */
 	readonly instance: string;
-	readonly books: ReadonlyArray<{
-		readonly callId: string;
-		readonly startedAt: number;
-		readonly isDone: boolean;
-	}>;
-	readonly mostRunning: number;
+	readonly callId: string;
+	/** Time of day in ms since the Unix epoch. */
+	readonly startedAt: number;
+	/** Calls that ran there at that moment, this one included. */
 	readonly running: number;
 }
 
--- a/scaffold/stand-ins/backend-server.ts
+++ b/scaffold/stand-ins/backend-server.ts
@@ -1,4 +1,5 @@
 /** Stand-in for a backend server: answers after a drawn time, and keeps books of what it ran. */
+import {appendFileSync} from 'node:fs';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
@@ -17,14 +18,6 @@
 	isSilent: boolean;
 }
 
-/** One request that was run. */
-interface BookEntry {
-	readonly callId: string;
-	/** Time of day in ms since the Unix epoch. */
-	readonly startedAt: number;
-	isDone: boolean;
-}
-
 const {values} = parseArgs({
 	options: {
 		address: {type: 'string', default: '127.0.0.1'},
@@ -35,6 +28,7 @@
 		connections: {type: 'string', default: '200'},
 		seed: {type: 'string', default: '1'},
 		'service-time': {type: 'string', default: '10'},
+		book: {type: 'string', default: '/dev/null'},
 	},
 });
 
@@ -47,10 +41,8 @@
 };
 const instance = `${process.pid}-${Date.now()}`;
 const random = createRandom(Number(values.seed));
-const books: BookEntry[] = [];
 const announcePeriod = 1000;
 let running = 0;
-let mostRunning = 0;
 
 function drawServiceTime(): number {
 	// Between half and one and a half of the mean, with a tail in one of 50 calls.
@@ -101,8 +93,8 @@
 			break;
 		}
 
-		case '/stand-in/books': {
-			res.end(JSON.stringify({instance, books, mostRunning, running}));
+		case '/stand-in/running': {
+			res.end(String(running));
 			break;
 		}
 
@@ -112,21 +104,25 @@
 	}
 }
 
+/** The book is a file, so that it outlives a crash. */
+function note(callId: string): void {
+	const entry = {instance, callId, startedAt: Date.now(), running};
+	appendFileSync(values.book, `${JSON.stringify(entry)}\n`);
+}
+
 function runCall(req: IncomingMessage, res: ServerResponse, url: URL, body: Buffer): void {
 	const callId = String(req.headers['x-call-id'] ?? '');
+	let isDone = false;
+	running += 1;
+	note(callId);
 	if (url.pathname === '/crash') {
-		books.push({callId, startedAt: Date.now(), isDone: false});
 		process.exit(9);
 	}
 
-	const entry: BookEntry = {callId, startedAt: Date.now(), isDone: false};
-	books.push(entry);
-	running += 1;
-	mostRunning = Math.max(mostRunning, running);
 	const time = Number(url.searchParams.get('ms') ?? drawServiceTime());
 	const finish = () => {
 		running -= 1;
-		entry.isDone = true;
+		isDone = true;
 		answer(res, url, callId, body);
 	};
 
@@ -139,7 +135,7 @@
 
 	const timer = setTimeout(finish, time);
 	res.once('close', () => {
-		if (!entry.isDone) {
+		if (!isDone) {
 			clearTimeout(timer);
 			running -= 1;
 		}
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -136,6 +136,20 @@
 		return this.regionSizes.get(region) ?? 0;
 	}
 
+	/**
+	 * @param region - name of a region.
+	 * @returns whether members of another region are known.
+	 */
+	hasOtherRegion(region: string): boolean {
+		for (const [name, size] of this.regionSizes) {
+			if (name !== region && size > 0) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	private countRegion(member: Member, change: number): void {
 		if (isPresent(member)) {
 			const size = this.regionSizes.get(member.region) ?? 0;
--- a/src/membership/gossip-settings.ts
+++ b/src/membership/gossip-settings.ts
@@ -24,12 +24,17 @@
 	readonly tombstoneTime: Millis;
 	/** Share of probes that leave the zone, from 0 to 1. */
 	readonly otherZoneShare: number;
-	/** Share of probes that leave the region, from 0 to 1. */
-	readonly otherRegionShare: number;
+	/** Probes a second that leave a region, all its members together. */
+	readonly otherRegionRate: number;
+	/** Bounds of the share of a member's probes that leave the region, from 0 to 1. */
+	readonly minOtherRegionShare: number;
+	readonly maxOtherRegionShare: number;
 	/** Bytes of news on one probe. */
 	readonly piggybackBytes: number;
-	/** How often each piece of news is sent. */
+	/** How often each piece of news is sent within the region. */
 	readonly copies: number;
+	/** How often each piece of news is sent to other regions. */
+	readonly farCopies: number;
 	/** Pieces of news kept at the most. */
 	readonly queueCapacity: number;
 	/** A tick that comes this much late tells of a pause of the process. */
@@ -48,9 +53,12 @@
 	reachOutPeriod: 2 * second,
 	tombstoneTime: 10 * minute,
 	otherZoneShare: 0.18,
-	otherRegionShare: 0.04,
+	otherRegionRate: 6,
+	minOtherRegionShare: 0.004,
+	maxOtherRegionShare: 0.2,
 	piggybackBytes: 720,
 	copies: 5,
+	farCopies: 2,
 	queueCapacity: 20_000,
 	pauseThreshold: 600,
 };
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -97,7 +97,8 @@
  */
 export class Gossip {
 	readonly directory = new Directory();
-	private readonly queue: UpdateQueue;
+	private readonly nearQueue: UpdateQueue;
+	private readonly farQueue: UpdateQueue;
 	private readonly targets: ProbeTargets;
 	private readonly rumors = new RumorMemory();
 	private readonly probes = new Map<number, Probe>();
@@ -125,7 +126,8 @@
 		this.clock = clock;
 		this.random = random;
 		this.host = host;
-		this.queue = new UpdateQueue(settings.copies, settings.queueCapacity);
+		this.nearQueue = new UpdateQueue(settings.copies, settings.queueCapacity);
+		this.farQueue = new UpdateQueue(settings.farCopies, settings.queueCapacity);
 		this.targets = new ProbeTargets(() => this.self, this.directory, settings, random);
 		this.lastTick = clock.now();
 		this.nextDigest = clock.now();
@@ -145,7 +147,7 @@
 
 	/** Pieces of news that still wait to be sent. */
 	get pendingNews(): number {
-		return this.queue.size;
+		return this.nearQueue.size;
 	}
 
 	/**
@@ -321,7 +323,9 @@
 			brief.push(briefOf(known));
 		}
 
-		for (const update of this.queue.take(this.settings.piggybackBytes)) {
+		const isFar = known !== undefined && known.region !== this.self.region;
+		const queue = isFar ? this.farQueue : this.nearQueue;
+		for (const update of queue.take(this.settings.piggybackBytes)) {
 			if (update.brief) {
 				brief.push(update.brief);
 			} else if (update.full) {
@@ -662,8 +666,12 @@
 		this.enqueue({topic: `rumor ${rumor.id}`, size: rumorSize(rumor), rumor});
 	}
 
+	// Few probes leave the region: news for them waits apart, or it would be used up before one goes.
 	private enqueue(update: QueuedUpdate): void {
-		this.queue.push(update);
+		this.nearQueue.push(update);
+		if (this.directory.hasOtherRegion(this.self.region)) {
+			this.farQueue.push(update);
+		}
 	}
 }
 
--- a/src/membership/probe-targets.ts
+++ b/src/membership/probe-targets.ts
@@ -1,3 +1,4 @@
+import {second} from '../clock/index.js';
 import {sample, type Random} from '../random/index.js';
 import type {Directory} from './directory.js';
 import type {GossipSettings} from './gossip-settings.js';
@@ -72,7 +73,8 @@
 
 	private drawDistance(): Distance {
 		const draw = this.random.next();
-		const {otherRegionShare, otherZoneShare} = this.settings;
+		const {otherZoneShare} = this.settings;
+		const otherRegionShare = this.otherRegionShare();
 		if (draw < otherRegionShare) {
 			return Distance.OtherRegion;
 		}
@@ -80,6 +82,15 @@
 		return draw < otherRegionShare + otherZoneShare ? Distance.SameRegion : Distance.SameZone;
 	}
 
+	// The link between regions is paid by volume: its cost must not grow with the members.
+	private otherRegionShare(): number {
+		const {otherRegionRate, minOtherRegionShare, maxOtherRegionShare, probePeriod} = this.settings;
+		const size = Math.max(1, this.directory.countInRegion(this.self().region));
+		const probesPerSecond = (size * second) / probePeriod;
+		const share = otherRegionRate / probesPerSecond;
+		return Math.min(maxOtherRegionShare, Math.max(minOtherRegionShare, share));
+	}
+
 	private nextOf(distance: Distance): Member | undefined {
 		const ring = this.rings[distance]!;
 		if (ring.length === 0) {
--- /dev/null
+++ b/src/replay/summary.ts
@@ -0,0 +1,75 @@
+import {build} from 'hdr-histogram-js';
+import {Outcome} from '../call/index.js';
+import type {CallerEntry} from './books.js';
+
+/** Percentiles of a set of durations, in ms. */
+export interface Percentiles {
+	readonly count: number;
+	readonly p50: number;
+	readonly p99: number;
+	readonly p999: number;
+	readonly max: number;
+}
+
+/** How many calls ended in one way. */
+export interface OutcomeCount {
+	readonly service: string;
+	readonly outcome: string;
+	readonly reason: string;
+	readonly count: number;
+}
+
+const microsecondsPerMs = 1000;
+const highestMicroseconds = 120_000_000;
+
+/**
+ * @param durations - durations in ms.
+ * @returns their percentiles.
+ */
+export function percentilesOf(durations: readonly number[]): Percentiles {
+	const histogram = build({
+		lowestDiscernibleValue: 1,
+		highestTrackableValue: highestMicroseconds,
+		numberOfSignificantValueDigits: 3,
+	});
+	for (const duration of durations) {
+		const value = Math.max(1, Math.round(duration * microsecondsPerMs));
+		histogram.recordValue(Math.min(highestMicroseconds, value));
+	}
+
+	const at = (percentile: number) => histogram.getValueAtPercentile(percentile) / microsecondsPerMs;
+	return {
+		count: durations.length,
+		p50: at(50),
+		p99: at(99),
+		p999: at(99.9),
+		max: durations.length > 0 ? Math.max(...durations) : 0,
+	};
+}
+
+/**
+ * @param entries - the callers' books.
+ * @returns counts by service, outcome and reason.
+ */
+export function countOutcomes(entries: readonly CallerEntry[]): OutcomeCount[] {
+	const counts = new Map<string, OutcomeCount>();
+	for (const {service, outcome, reason} of entries) {
+		const id = `${service} ${outcome} ${reason}`;
+		const count = (counts.get(id)?.count ?? 0) + 1;
+		counts.set(id, {service, outcome, reason, count});
+	}
+
+	return [...counts.entries()].toSorted(([a], [b]) => (a < b ? -1 : 1)).map(([, count]) => count);
+}
+
+/**
+ * @param entries - the callers' books.
+ * @returns the share of calls that were answered in time, from 0 to 1.
+ */
+export function goodput(entries: readonly CallerEntry[]): number {
+	const good = entries.filter(
+		(entry) =>
+			String(entry.outcome) === String(Outcome.Answered) && entry.duration <= entry.timeout,
+	);
+	return entries.length === 0 ? 1 : good.length / entries.length;
+}
--- a/tests/whole-path.test.ts
+++ b/tests/whole-path.test.ts
@@ -28,9 +28,8 @@
 	});
 }
 
-async function booksLength(): Promise<number> {
-	const books = await Promise.all(deployment.pairs.map(async (pair) => deployment.books(pair)));
-	return books.flatMap((book) => book.books).length;
+function countRuns(): number {
+	return deployment.pairs.flatMap((pair) => deployment.book(pair)).length;
 }
 
 beforeAll(async () => {
@@ -96,11 +95,11 @@
 			`GET / HTTP/1.1\r\nHost: stock\r\nX: ${'x'.repeat(20_000)}\r\n\r\n`,
 		],
 	])('refuses a request with %s and forwards nothing', async (_name, text) => {
-		const before = await booksLength();
+		const before = countRuns();
 		const answer = await sendRaw(0, text);
 		expect(answer).toMatch(/^HTTP\/1\.1 4\d\d /v);
 		expect(answer).toContain('turmeric-outcome: not-run');
-		expect(await booksLength()).toBe(before);
+		expect(countRuns()).toBe(before);
 	});
 
 	it('cancels at the backend server when the caller is lost', async () => {
@@ -111,8 +110,10 @@
 		});
 		await expect(call).rejects.toThrow();
 		await deployment.waitFor('the call to be canceled', async () => {
-			const books = await Promise.all(deployment.pairs.map(async (pair) => deployment.books(pair)));
-			return books.every((book) => book.running === 0);
+			const running = await Promise.all(
+				deployment.pairs.map(async (pair) => deployment.running(pair)),
+			);
+			return running.every((count) => count === 0);
 		});
 	});
 
@@ -140,8 +141,6 @@
 			),
 		);
 		expect(answers.map((answer) => answer.status)).toEqual(Array.from({length: 9}, () => 200));
-		const books = await Promise.all(deployment.pairs.map(async (pair) => deployment.books(pair)));
-		const runs = books.flatMap((book) => book.books).filter((entry) => entry.callId === 'keyed');
-		expect(runs).toHaveLength(1);
+		expect(deployment.runsOf('keyed')).toBe(1);
 	});
 });
