Prove at most once and the truth of refusals between real processes

Kill, freeze and thaw of executors, kill of a backend server, kill and graceful stop of the home of a key, lost answers and an outage of the store, keys used for another request: 10 tests, each joined with the books of the backend servers.

--- a/scaffold/deployment/deployment.ts
+++ b/scaffold/deployment/deployment.ts
@@ -4,6 +4,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import process from 'node:process';
+import {isRoutable, type Member} from '../../src/membership/index.js';
 import type {NetworkPlan, Relay} from '../stand-ins/network.js';
 import type {DeploymentPlan, ServicePlan} from './place.js';
 import {ProcessGroup} from './process-group.js';
@@ -162,6 +163,8 @@
 				String(service.serviceTime),
 				'--seed',
 				String(this.seed + this.pairs.indexOf(pair)),
+				'--book',
+				this.bookFile(pair),
 			],
 			readyText: 'ready',
 		});
@@ -176,13 +179,24 @@
 			});
 		}
 
-		for (const pair of this.pairs) {
-			await this.waitFor(`${pair.node} to know all that serve`, async () => {
+		await this.waitFor('all nodes to know all that serve', async () =>
+			this.isServing(this.pairs.length),
+		);
+	}
+
+	/**
+	 * @param count - how many members should take work.
+	 * @returns whether every node sees exactly so many.
+	 */
+	async isServing(count: number): Promise<boolean> {
+		const counts = await Promise.all(
+			this.pairs.map(async (pair) => {
 				const text = await fetchText(`http://${pair.address}:${ports.operator}/v1/members`);
-				const {members} = JSON.parse(text) as {members: Array<{phase: number}>};
-				return members.filter((member) => member.phase === 1).length === this.pairs.length;
-			});
-		}
+				const {members} = JSON.parse(text) as {members: Member[]};
+				return members.filter((member) => isRoutable(member)).length;
+			}),
+		);
+		return counts.every((seen) => seen === count);
 	}
 
 	/**
--- a/src/replay/invariants.ts
+++ b/src/replay/invariants.ts
@@ -10,6 +10,8 @@
 	AtMostOnce = 'at most once',
 	/** Every caller gets the whole answer to its own request. */
 	OwnWholeAnswer = 'own whole answer',
+	/** What a caller got an answer for was run; a book that misses runs proves nothing. */
+	AnsweredRan = 'answered ran',
 	/** Every caller is told how its call ended. */
 	EveryCallIsTold = 'every call is told',
 	/** The slots of a backend server are never exceeded. */
@@ -113,6 +115,17 @@
 	return {invariant: Invariant.OwnWholeAnswer, checked, broken};
 }
 
+function checkAnsweredRan(books: Books): InvariantResult {
+	const runs = runsByCall(books);
+	const answered = books.callers.filter(
+		(entry) => entry.status === 200 && String(entry.outcome) === String(Outcome.Answered),
+	);
+	const broken = answered
+		.filter((entry) => !runs.has(entry.callId))
+		.map((entry) => `${entry.callId} was answered and stands in no book`);
+	return {invariant: Invariant.AnsweredRan, checked: answered.length, broken};
+}
+
 function checkTold(books: Books): InvariantResult {
 	const outcomes = new Set<string>(Object.values(Outcome));
 	const broken: string[] = [];
@@ -183,6 +196,7 @@
 	checkNotRun,
 	checkAtMostOnce,
 	checkAnswers,
+	checkAnsweredRan,
 	checkTold,
 	checkSlots,
 	checkDepartures,
--- /dev/null
+++ b/tests/at-most-once.test.ts
@@ -0,0 +1,206 @@
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {sendCall, type CallerAnswer, type CallerRequest} from '../scaffold/deployment/caller.js';
+import {Deployment, ports, type Pair} from '../scaffold/deployment/deployment.js';
+import {small} from '../scaffold/deployment/place.js';
+
+const deployment = new Deployment(small, 11);
+
+function callTo(pair: Pair, request: Partial<CallerRequest> & {callId: string}): CallerRequest {
+	const node = `${pair.address}:${ports.caller}`;
+	return {node, service: 'stock', customer: 'kuressaare', method: 'POST', ...request};
+}
+
+/** Keeps the callers of the other pairs from being served by anyone but the given pair. */
+async function leaveOnly(pair: Pair): Promise<void> {
+	for (const other of deployment.pairs) {
+		if (other !== pair) {
+			await deployment.setBehaviour(other, {isSilent: true});
+		}
+	}
+
+	await deployment.waitFor('the other backend servers to be gone', async () => {
+		const states = await Promise.all(deployment.pairs.map(async (item) => deployment.status(item)));
+		return states.filter((status) => status.backend.state === 'absent').length === 2;
+	});
+	await waitForServing(1);
+}
+
+async function waitForServing(count: number): Promise<void> {
+	await deployment.waitFor(`${count} members to serve`, async () => deployment.isServing(count));
+}
+
+async function bringBack(): Promise<void> {
+	for (const pair of deployment.pairs) {
+		await deployment.setBehaviour(pair, {isSilent: false, slowness: 1});
+	}
+
+	await waitForServing(3);
+}
+
+async function waitUntilRunning(pair: Pair): Promise<void> {
+	await deployment.waitFor('the call to run', async () => (await deployment.running(pair)) > 0);
+}
+
+function expectTruth(answer: CallerAnswer, callId: string): void {
+	const runs = deployment.runsOf(callId);
+	expect(runs).toBeLessThanOrEqual(1);
+	if (answer.outcome === 'not-run') {
+		expect(runs).toBe(0);
+	}
+}
+
+beforeAll(async () => {
+	await deployment.open();
+});
+
+afterAll(async () => {
+	await deployment.stop();
+});
+
+describe('at most once', () => {
+	it('says unknown, and runs once, when the executor is killed with a call in flight', async () => {
+		const [ingress, executor] = [deployment.pairs[0]!, deployment.pairs[1]!];
+		await leaveOnly(executor);
+		const pending = sendCall(callTo(ingress, {callId: 'killed', path: '/?ms=3000', timeout: 4000}));
+		await waitUntilRunning(executor);
+		deployment.group.signal(executor.node, 'SIGKILL');
+		const answer = await pending;
+		expect(answer.outcome).toBe('unknown');
+		expectTruth(answer, 'killed');
+		await deployment.startNode(executor);
+		await bringBack();
+	});
+
+	it('says unknown when the backend server is killed with a call in flight', async () => {
+		const [ingress, executor] = [deployment.pairs[0]!, deployment.pairs[2]!];
+		await leaveOnly(executor);
+		const pending = sendCall(callTo(ingress, {callId: 'lost', path: '/?ms=3000', timeout: 4000}));
+		await waitUntilRunning(executor);
+		deployment.group.signal(executor.backend, 'SIGKILL');
+		const answer = await pending;
+		expect(answer).toMatchObject({outcome: 'unknown', reason: 'backend-lost'});
+		expectTruth(answer, 'lost');
+		await deployment.startBackend(executor);
+		await bringBack();
+	});
+
+	it('never runs a call of a frozen executor elsewhere', async () => {
+		const [ingress, executor] = [deployment.pairs[0]!, deployment.pairs[1]!];
+		await leaveOnly(executor);
+		deployment.group.signal(executor.node, 'SIGSTOP');
+		const pending = sendCall(callTo(ingress, {callId: 'frozen', timeout: 2500}));
+		await bringBackOthers(executor);
+		const answer = await pending;
+		deployment.group.signal(executor.node, 'SIGCONT');
+		await bringBack();
+		expectTruth(answer, 'frozen');
+	});
+
+	it('refuses at the executor what waited in its socket past its deadline', async () => {
+		const [ingress, executor] = [deployment.pairs[0]!, deployment.pairs[2]!];
+		await leaveOnly(executor);
+		await sendCall(callTo(ingress, {callId: 'warm'}));
+		deployment.group.signal(executor.node, 'SIGSTOP');
+		const answer = await sendCall(callTo(ingress, {callId: 'late', timeout: 400}));
+		expect(answer.outcome).not.toBe('answered');
+		await new Promise((resolve) => {
+			setTimeout(resolve, 1200);
+		});
+		deployment.group.signal(executor.node, 'SIGCONT');
+		await bringBack();
+		// The frame has been read by now, as the executor answers a later call over the same link.
+		await sendCall(callTo(ingress, {callId: 'after'}));
+		expect(deployment.runsOf('late')).toBe(0);
+	});
+
+	it('replays the answer to a caller that sends again while the first copy runs', async () => {
+		const request = {callId: 'twice', key: 'twice', path: '/?ms=800', timeout: 5000};
+		const answers = await Promise.all(
+			deployment.pairs.map(async (pair) => sendCall(callTo(pair, request))),
+		);
+		expect(answers.map((answer) => answer.outcome)).toEqual(['answered', 'answered', 'answered']);
+		expect(deployment.runsOf('twice')).toBe(1);
+	});
+
+	it('tells the truth after the home of a key was killed', async () => {
+		const home = deployment.pairs[0]!;
+		const request = {callId: 'orphan', key: 'orphan', path: '/?ms=2000', timeout: 6000};
+		const first = sendCall(callTo(home, request));
+		await deployment.waitFor('the call to run', async () => deployment.runsOf('orphan') > 0);
+		deployment.group.signal(home.node, 'SIGKILL');
+		await first;
+		const again = await sendCall(callTo(deployment.pairs[1]!, request));
+		expect(again.outcome).toBe('unknown');
+		expect(deployment.runsOf('orphan')).toBe(1);
+		await deployment.startNode(home);
+		await waitForServing(3);
+		const third = await sendCall(callTo(home, request));
+		expect(third.outcome).toBe('unknown');
+		expect(deployment.runsOf('orphan')).toBe(1);
+	});
+
+	it('replays the answer after the home of a key has stopped gracefully', async () => {
+		const home = deployment.pairs[1]!;
+		const request = {callId: 'heir', key: 'heir'};
+		const first = await sendCall(callTo(home, request));
+		expect(first.outcome).toBe('answered');
+		deployment.group.signal(home.node, 'SIGTERM');
+		expect(await deployment.group.get(home.node).ended).toBe(0);
+		const again = await sendCall(callTo(deployment.pairs[0]!, request));
+		expect(again).toMatchObject({outcome: 'answered', body: first.body});
+		expect(deployment.runsOf('heir')).toBe(1);
+		await deployment.startNode(home);
+		await waitForServing(3);
+	});
+
+	it('claims a key although the answer of the store is lost', async () => {
+		await deployment.setStoreFaults({lostAnswers: 1});
+		const request = {callId: 'swallowed', key: 'swallowed'};
+		const first = await sendCall(callTo(deployment.pairs[0]!, request));
+		const again = await sendCall(callTo(deployment.pairs[2]!, request));
+		expect([first.outcome, again.outcome]).toEqual(['answered', 'answered']);
+		expect(deployment.runsOf('swallowed')).toBe(1);
+		await deployment.setStoreFaults({lostAnswers: 0});
+	});
+
+	it('refuses a key that it cannot claim, and serves issued keys, while the store is down', async () => {
+		await deployment.setStoreFaults({isDown: true});
+		const [node, other] = [deployment.pairs[0]!, deployment.pairs[2]!];
+		const refused = await sendCall(callTo(node, {callId: 'no-claim', key: 'no-claim'}));
+		expect(refused).toMatchObject({outcome: 'not-run', reason: 'store-unavailable'});
+		expect(deployment.runsOf('no-claim')).toBe(0);
+		const issued = await fetch(`http://${node.address}:${ports.caller}/turmeric/keys`, {
+			method: 'POST',
+		});
+		const {key} = (await issued.json()) as {key: string};
+		const request = {callId: 'issued', key};
+		const answers = await Promise.all([
+			sendCall(callTo(other, request)),
+			sendCall(callTo(node, request)),
+		]);
+		expect(answers.map((answer) => answer.outcome)).toEqual(['answered', 'answered']);
+		expect(deployment.runsOf('issued')).toBe(1);
+		await deployment.setStoreFaults({isDown: false});
+		await deployment.waitFor('the store to be asked again', async () => {
+			const answer = await sendCall(callTo(node, {callId: 'no-claim', key: 'no-claim'}));
+			return answer.outcome === 'answered';
+		});
+		expect(deployment.runsOf('no-claim')).toBe(1);
+	});
+
+	it('refuses a key that is used for another request', async () => {
+		const [a, b] = [deployment.pairs[0]!, deployment.pairs[1]!];
+		await sendCall(callTo(a, {callId: 'mine', key: 'shared', path: '/one'}));
+		const answer = await sendCall(callTo(b, {callId: 'other', key: 'shared', path: '/two'}));
+		expect(answer).toMatchObject({status: 422, outcome: 'not-run', reason: 'key-reused'});
+		expect(deployment.runsOf('other')).toBe(0);
+	});
+});
+
+async function bringBackOthers(except: Pair): Promise<void> {
+	for (const pair of deployment.pairs) {
+		if (pair !== except) {
+			await deployment.setBehaviour(pair, {isSilent: false});
+		}
+	}
+}
