--- a/scaffold/replay/trace-runner.ts
+++ b/scaffold/replay/trace-runner.ts
@@ -176,7 +176,8 @@
 			}
 
 			case FaultKind.Drain: {
-				this.departures.push({backend: `backend-${event.target}`, knownAt: this.elapsed});
+				const backend = `backend-${event.target}`;
+				this.departures.push({backend, knownAt: this.elapsed, backAt: undefined});
 				await deployment.setBehaviour(deployment.pair(event.target), {isDraining: true});
 				break;
 			}
@@ -227,6 +228,7 @@
 
 	private async restart(name: string): Promise<void> {
 		const pair = this.deployment.pairs.find((item) => item.node === name || item.backend === name)!;
+		this.endDepartures(pair);
 		if (pair.node === name) {
 			await this.deployment.startNode(pair);
 			await this.deployment.waitFor(`${name} to be ready`, async () => {
@@ -240,10 +242,17 @@
 		this.gone.delete(name);
 	}
 
+	private endDepartures(pair: Pair): void {
+		for (const departure of this.departures) {
+			if (departure.backend === pair.backend) {
+				departure.backAt ??= this.elapsed;
+			}
+		}
+	}
+
 	private async stop(name: string): Promise<void> {
 		const pair = this.deployment.pairs.find((item) => item.node === name)!;
-		const departure = {backend: pair.backend, knownAt: this.elapsed};
-		this.departures.push(departure);
+		this.departures.push({backend: pair.backend, knownAt: this.elapsed, backAt: undefined});
 		const member = this.deployment.group.get(name);
 		this.deployment.group.signal(name, 'SIGTERM');
 		// Callers are told by the node itself: its connections end with their next answer.
--- a/src/control/declaration-store.ts
+++ b/src/control/declaration-store.ts
@@ -34,7 +34,24 @@
 	Conflict = 'conflict',
 }
 
-const readBackTries = 20;
+const maxTries = 5;
+
+async function retryUnavailable<T>(
+	work: () => Promise<T>,
+	pause: () => Promise<void>,
+): Promise<T> {
+	for (let tries = 1; ; tries++) {
+		try {
+			return await work(); // eslint-disable-line no-await-in-loop
+		} catch (err) {
+			if (!(err instanceof StoreUnavailableError) || tries >= maxTries) {
+				throw err;
+			}
+
+			await pause(); // eslint-disable-line no-await-in-loop
+		}
+	}
+}
 
 /** Reads and writes configuration revisions in the platform's store. */
 export class DeclarationStore {
@@ -60,27 +77,17 @@
 		pause: () => Promise<void>,
 	): Promise<HeadWrite> {
 		const value = JSON.stringify(after);
-		for (let attempt = 0; ; attempt++) {
-			try {
-				// eslint-disable-next-line no-await-in-loop
-				return await this.tryReplaceHead(before, value);
-			} catch (err) {
-				if (!(err instanceof StoreUnavailableError) || attempt >= readBackTries) {
-					throw err;
-				}
-
-				// eslint-disable-next-line no-await-in-loop
-				await pause();
-			}
-		}
+		return retryUnavailable(async () => this.tryReplaceHead(before, value), pause);
 	}
 
 	/**
+	 * Writes a content; writing it again does no harm, as its name is its hash.
 	 * @param hash - hash of a content.
 	 * @param content - the content.
+	 * @param pause - waits between two tries.
 	 */
-	async putContent(hash: string, content: string): Promise<void> {
-		await this.store.put(contentName(hash), content);
+	async putContent(hash: string, content: string, pause: () => Promise<void>): Promise<void> {
+		await retryUnavailable(async () => this.store.put(contentName(hash), content), pause);
 	}
 
 	/**
--- a/src/operator/change-applier.ts
+++ b/src/operator/change-applier.ts
@@ -81,11 +81,12 @@
 			return early;
 		}
 
-		await this.store.putContent(hash, content);
+		const pause = async () => this.pause(retryPeriod);
+		await this.store.putContent(hash, content, pause);
 		const {author, message, changeId} = request;
 		const at = this.clock.wallNow();
 		const after = stage(row.head, {hash, author, message, changeId, at});
-		const written = await this.store.replaceHead(row, after, async () => this.pause(retryPeriod));
+		const written = await this.store.replaceHead(row, after, pause);
 		if (written === HeadWrite.Conflict) {
 			lifecycle.send({type: ChangeEvent.StageConflict});
 			return this.conflict(request);
--- a/src/replay/books.ts
+++ b/src/replay/books.ts
@@ -48,6 +48,8 @@
 	readonly backend: string;
 	/** Time since the start, in ms. */
 	readonly knownAt: Millis;
+	/** Time since the start at which it was started anew, in ms; undefined if it was not. */
+	backAt: Millis | undefined;
 }
 
 /** The books of a run. */
--- /dev/null
+++ b/tests/configuration.test.ts
@@ -0,0 +1,162 @@
+import {cpSync, readFileSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {sendCall} from '../scaffold/deployment/caller.js';
+import {Deployment, ports} from '../scaffold/deployment/deployment.js';
+import {small} from '../scaffold/deployment/place.js';
+
+const deployment = new Deployment(small, 31);
+let versions = 0;
+
+/** @returns a folder of declaration files that differs from all others. */
+function changedFolder(deadline: string): string {
+	versions += 1;
+	const folder = join(deployment.folder, `declaration-${versions}`);
+	cpSync('examples/small', folder, {recursive: true});
+	const file = join(folder, 'templates', 'stock.ini');
+	writeFileSync(file, readFileSync(file, 'utf8').replace('5 s', deadline));
+	return folder;
+}
+
+async function revisions(): Promise<number[]> {
+	return Promise.all(
+		deployment.pairs.map(async (pair) => (await deployment.status(pair)).revision.inForce),
+	);
+}
+
+async function applied(folder: string, ...args: string[]): Promise<{code: number; revision: number}> {
+	const {code, output} = await deployment.operate('apply', folder, '--json', ...args);
+	const {revision} = JSON.parse(output) as {revision: number};
+	return {code, revision};
+}
+
+async function waitForRevision(revision: number): Promise<void> {
+	await deployment.waitFor(`revision ${revision} everywhere`, async () => {
+		const all = await revisions();
+		return all.every((item) => item === revision);
+	});
+}
+
+beforeAll(async () => {
+	await deployment.open();
+});
+
+afterAll(async () => {
+	await deployment.stop();
+});
+
+describe('configuration', () => {
+	it('brings an accepted change into force on every node', async () => {
+		const {code, revision} = await applied(changedFolder('6 s'));
+		expect(code).toBe(0);
+		await waitForRevision(revision);
+	});
+
+	it('is idempotent when applied again', async () => {
+		const folder = changedFolder('7 s');
+		const first = await applied(folder);
+		const second = await applied(folder);
+		expect(second).toEqual(first);
+	});
+
+	it('lets one of two operators win and shows the other the conflict', async () => {
+		const {revision} = await applied(changedFolder('8 s'));
+		const base = ['--on', String(revision)];
+		const results = await Promise.all([
+			deployment.operate('apply', changedFolder('9 s'), ...base),
+			deployment.operate('apply', changedFolder('10 s'), ...base),
+		]);
+		expect(results.map((result) => result.code).toSorted()).toEqual([0, 3]);
+		const loser = results.find((result) => result.code === 3)!;
+		expect(loser.output).toMatch(/conflict: revision \d+/v);
+		expect(loser.output).toContain('stock for kuressaare: deadline');
+		await waitForRevision(revision + 1);
+	});
+
+	it('refuses wrong files with every finding and its place', async () => {
+		const folder = changedFolder('soon');
+		const {code, output} = await deployment.operate('apply', folder);
+		expect(code).toBe(2);
+		expect(output).toMatch(/templates\/stock\.ini:\d+: \[call\] deadline: "soon" is out of bounds/v);
+	});
+
+	it('resolves an answer that the store swallowed', async () => {
+		await deployment.setStoreFaults({lostAnswers: 2});
+		const {code, revision} = await applied(changedFolder('11 s'));
+		await deployment.setStoreFaults({lostAnswers: 0});
+		expect(code).toBe(0);
+		await waitForRevision(revision);
+	});
+
+	it('does not accept what a region that is cut off does not hold, and does once it is back', async () => {
+		const [before] = await revisions();
+		await deployment.setNetworkFaults({cutRegions: ['parnu']});
+		const {code, revision} = await applied(changedFolder('12 s'), '--wait', '2');
+		expect(code).toBe(5);
+		expect(await revisions()).toEqual([before, before, before]);
+		await deployment.setNetworkFaults({cutRegions: []});
+		await waitForRevision(revision);
+	});
+
+	it('withdraws what is not accepted in time when the operator asks for it', async () => {
+		const [before] = await revisions();
+		await deployment.setNetworkFaults({cutRegions: ['parnu']});
+		const {code} = await applied(changedFolder('13 s'), '--wait', '2', '--withdraw');
+		await deployment.setNetworkFaults({cutRegions: []});
+		expect(code).toBe(1);
+		const {code: next, revision} = await applied(changedFolder('14 s'));
+		expect(next).toBe(0);
+		expect(revision).toBeGreaterThan(before!);
+		await waitForRevision(revision);
+	});
+
+	it('stays in force, and serves nodes that start, while the store is down', async () => {
+		const [revision] = await revisions();
+		await deployment.setStoreFaults({isDown: true});
+		const refused = await deployment.operate('apply', changedFolder('15 s'), '--wait', '1');
+		expect(refused.code).toBe(4);
+		const [pair] = deployment.pairs;
+		deployment.group.signal(pair!.node, 'SIGKILL');
+		await deployment.startNode(pair!);
+		await deployment.waitFor('the node to be ready', async () => {
+			const status = await deployment.status(pair!);
+			return status.state === 'ready' && status.revision.inForce === revision;
+		});
+		await deployment.setStoreFaults({isDown: false});
+		await deployment.waitUntilReady();
+	});
+
+	it('is finished by the nodes when the operator is gone', async () => {
+		const {code, revision} = await applied(changedFolder('16 s'), '--wait', '0');
+		expect(code).toBe(5);
+		await waitForRevision(revision);
+	});
+
+	it('never reverts on a node that was frozen while a change was made', async () => {
+		const pair = deployment.pairs[1]!;
+		deployment.group.signal(pair.node, 'SIGSTOP');
+		await deployment.waitFor('the node to be given up', async () => {
+			const answer = await sendCall({
+				node: `${deployment.pairs[0]!.address}:${ports.caller}`,
+				service: 'stock',
+				customer: 'kuressaare',
+				callId: 'probe',
+			});
+			return answer.outcome === 'answered';
+		});
+		const {revision} = await applied(changedFolder('17 s'), '--wait', '1');
+		deployment.group.signal(pair.node, 'SIGCONT');
+		await waitForRevision(revision);
+	});
+
+	it('comes back from the store when all nodes start anew', async () => {
+		const [revision] = await revisions();
+		for (const pair of deployment.pairs) {
+			deployment.group.signal(pair.node, 'SIGKILL');
+		}
+
+		await Promise.all(deployment.pairs.map(async (pair) => deployment.startNode(pair)));
+		await waitForRevision(revision!);
+		await deployment.waitUntilReady();
+	});
+});
