Ask the store from the node's own address, and bound questions to peers

Cause: the test of a cut region saw a change accepted that the region could not hold. The client of the store passed the node's address to the connector, where the library overrides it with the one of the agent, so that requests left from 127.0.0.1: the cut, and the delay to the store, did not apply to them. The same trial showed that the zones that could be reached did not acknowledge within 1.2 s: a fetch of the content from a peer behind the cut waited for ever. Ruled out: frozen connections that go on (the relay counts none), and rows of an earlier revision (the keys carry the revision). Change: the address is the agent's; a question to a peer ends after 1 s; readers ask the store before their peers.

--- a/src/control/declaration-store.ts
+++ b/src/control/declaration-store.ts
@@ -36,10 +36,7 @@
 
 const maxTries = 5;
 
-async function retryUnavailable<T>(
-	work: () => Promise<T>,
-	pause: () => Promise<void>,
-): Promise<T> {
+async function retryUnavailable<T>(work: () => Promise<T>, pause: () => Promise<void>): Promise<T> {
 	for (let tries = 1; ; tries++) {
 		try {
 			return await work(); // eslint-disable-line no-await-in-loop
--- a/src/control/revision-agent.ts
+++ b/src/control/revision-agent.ts
@@ -231,7 +231,7 @@
 	private async fetch(hash: string): Promise<void> {
 		this.fetching.add(hash);
 		try {
-			const content = (await this.fetchFromPeers(hash)) ?? (await this.fetchFromStore(hash));
+			const content = (await this.fetchFromStore(hash)) ?? (await this.fetchFromPeers(hash));
 			if (content !== undefined) {
 				this.parts.keeper.addContent(hash, content);
 				this.parts.logger.log(logEvents.revisionHeld, {hash});
@@ -286,7 +286,15 @@
 			return undefined;
 		}
 
-		return store.getContent(hash);
+		try {
+			return await store.getContent(hash);
+		} catch (err) {
+			if (err instanceof StoreUnavailableError) {
+				return undefined;
+			}
+
+			throw err;
+		}
 	}
 
 	private async pause(span: Millis): Promise<void> {
--- a/src/link/link-hub.ts
+++ b/src/link/link-hub.ts
@@ -17,7 +17,7 @@
 import {PeerSession, type SessionHost} from './peer-session.js';
 
 /** What the hub needs from its node, besides what each session needs. */
-export interface HubHost extends Omit<SessionHost, 'settleLost' | 'now' | 'lateFrame'> {
+export interface HubHost extends Omit<SessionHost, 'settleLost' | 'now' | 'after' | 'lateFrame'> {
 	/** A peer with calls in flight gives no sign of life. */
 	peerSilent(id: string): void;
 }
@@ -170,6 +170,7 @@
 		const {host, metrics} = this.parts;
 		return {
 			now: () => this.owner.clock.now(),
+			after: (delay, run) => this.owner.clock.after(delay, run),
 			staleness: () => host.staleness(),
 			runnerFor: (target) => host.runnerFor(target),
 			askAndFence: (instance, sequence) => host.askAndFence(instance, sequence),
@@ -197,7 +198,7 @@
 			return createRefused(RefusalReason.DeadlinePassed);
 		}
 
-		return session.run(attempt, target, (delay, run) => this.owner.clock.after(delay, run));
+		return session.run(attempt, target);
 	}
 
 	private dial(id: string): Dial {
--- a/src/link/link-limits.ts
+++ b/src/link/link-limits.ts
@@ -12,6 +12,9 @@
 /** How long opening a link may take. */
 export const openTimeout: Millis = second;
 
+/** How long a question to a peer may stay without its reply. */
+export const questionTimeout: Millis = second;
+
 /** Time between two signs of life on a link with calls in flight. */
 export const beatPeriod: Millis = 200;
 
--- a/src/link/peer-session.ts
+++ b/src/link/peer-session.ts
@@ -11,13 +11,19 @@
 import {FrameType, OpenTarget, type Frame, type OpenFrame} from './frame.js';
 import {IncomingAttempt} from './incoming-attempt.js';
 import type {Link} from './link.js';
-import {beatPeriod, maxStreams, silenceLimit} from './link-limits.js';
+import {beatPeriod, maxStreams, questionTimeout, silenceLimit} from './link-limits.js';
 import {LossKind, OutgoingAttempt, type OutgoingHost} from './outgoing-attempt.js';
 
 /** What a session needs from its node. */
 export interface SessionHost extends Omit<OutgoingHost, 'streamEnded'> {
 	/** @returns monotonic time in ms. */
 	now(): Millis;
+	/**
+	 * Sets a timer.
+	 * @param delay - in ms.
+	 * @param run - what to run.
+	 */
+	after(delay: Millis, run: () => void): Undo;
 	/** @returns how long this process may have left frames unread, in ms. */
 	staleness(): Millis;
 	/**
@@ -79,14 +85,9 @@
 	 * Sends an attempt to the peer.
 	 * @param attempt - what to run.
 	 * @param target - who handles it there.
-	 * @param after - sets a timer; used for the deadline.
 	 * @returns how it ended.
 	 */
-	async run(
-		attempt: Attempt,
-		target: OpenTarget,
-		after: (delay: Millis, run: () => void) => Undo,
-	): Promise<AttemptResult> {
+	async run(attempt: Attempt, target: OpenTarget): Promise<AttemptResult> {
 		const timeLeft = attempt.deadline.timeLeft(this.host.now());
 		if (this.outgoing.size >= maxStreams) {
 			return createRefused(RefusalReason.TooManyCalls);
@@ -103,7 +104,7 @@
 					: createUnknown(RefusalReason.ExecutorLost),
 		});
 		this.outgoing.set(stream, outgoing);
-		const cancelTimer = after(timeLeft, () => {
+		const cancelTimer = this.host.after(timeLeft, () => {
 			outgoing.expire();
 		});
 		outgoing.open(target, timeLeft);
@@ -281,7 +282,12 @@
 
 	private receiveReply(question: number, frame: Frame): boolean {
 		const asked = this.questions.get(question);
-		if (asked?.kind !== frame.type) {
+		if (!asked) {
+			this.host.lateFrame();
+			return true;
+		}
+
+		if (asked.kind !== frame.type) {
 			return false;
 		}
 
@@ -298,6 +304,10 @@
 		const question = this.nextQuestion;
 		const {promise, resolve} = withResolvers<Frame | undefined>();
 		this.questions.set(question, {kind, resolve});
+		this.host.after(questionTimeout, () => {
+			this.questions.delete(question);
+			resolve(undefined);
+		});
 		this.link.send(build(question));
 		return promise;
 	}
--- a/src/store/http-store.ts
+++ b/src/store/http-store.ts
@@ -52,7 +52,7 @@
 		this.base = `http://${formatEndpoint(parts.endpoint)}/v1`;
 		this.breaker = new CircuitBreaker(parts.clock, parts.random);
 		const {localAddress} = parts;
-		this.agent = new Agent({connect: {localAddress, timeout}, connections: maxConnections});
+		this.agent = new Agent({localAddress, connect: {timeout}, connections: maxConnections});
 	}
 
 	/** Whether the store has answered of late. */
