--- /dev/null
+++ b/bench/event-clock.ts
@@ -0,0 +1,106 @@
+import type {Clock, Undo} from '../src/clock/index.js';
+
+type Event = {at: number; order: number; run: () => void};
+
+/** A clock that jumps from event to event; a binary heap keeps many events cheap. */
+export class EventClock implements Clock {
+	private readonly heap: Event[] = [];
+	private time = 0;
+	private order = 0;
+
+	now(): number {
+		return this.time;
+	}
+
+	wallNow(): number {
+		return this.time;
+	}
+
+	after(delay: number, run: () => void): Undo {
+		this.order += 1;
+		const event = {at: this.time + delay, order: this.order, run};
+		this.push(event);
+		return () => {
+			event.run = () => undefined;
+		};
+	}
+
+	repeat(period: number, run: () => void): Undo {
+		let isStopped = false;
+		const fire = () => {
+			if (!isStopped) {
+				run();
+				this.after(period, fire);
+			}
+		};
+
+		this.after(period, fire);
+		return () => {
+			isStopped = true;
+		};
+	}
+
+	/**
+	 * @param end - runs every event up to this time, in ms.
+	 */
+	runUntil(end: number): void {
+		for (let event = this.heap[0]; event && event.at <= end; event = this.heap[0]) {
+			this.pop();
+			this.time = event.at;
+			event.run();
+		}
+
+		this.time = end;
+	}
+
+	private push(event: Event): void {
+		this.heap.push(event);
+		let i = this.heap.length - 1;
+		while (i > 0) {
+			const parent = Math.floor((i - 1) / 2);
+			if (!isBefore(this.heap[i]!, this.heap[parent]!)) {
+				break;
+			}
+
+			this.swap(i, parent);
+			i = parent;
+		}
+	}
+
+	private pop(): void {
+		const last = this.heap.pop()!;
+		if (this.heap.length === 0) {
+			return;
+		}
+
+		this.heap[0] = last;
+		let i = 0;
+		for (;;) {
+			const child = this.smallerChild(i);
+			if (child === undefined || !isBefore(this.heap[child]!, this.heap[i]!)) {
+				return;
+			}
+
+			this.swap(i, child);
+			i = child;
+		}
+	}
+
+	private smallerChild(i: number): number | undefined {
+		const [left, right] = [2 * i + 1, 2 * i + 2];
+		if (left >= this.heap.length) {
+			return undefined;
+		}
+
+		const hasRight = right < this.heap.length;
+		return hasRight && isBefore(this.heap[right]!, this.heap[left]!) ? right : left;
+	}
+
+	private swap(i: number, j: number): void {
+		[this.heap[i], this.heap[j]] = [this.heap[j]!, this.heap[i]!];
+	}
+}
+
+function isBefore(a: Event, b: Event): boolean {
+	return a.at < b.at || (a.at === b.at && a.order < b.order);
+}
--- a/scaffold/deployment/deployment.ts
+++ b/scaffold/deployment/deployment.ts
@@ -4,6 +4,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import process from 'node:process';
+import {promisify} from 'node:util';
 import {isRoutable, type Member} from '../../src/membership/index.js';
 import type {NetworkPlan, Relay} from '../stand-ins/network.js';
 import type {DeploymentPlan, ServicePlan} from './place.js';
@@ -254,6 +255,16 @@
 		});
 	}
 
+	/**
+	 * Runs a command of the operators' program on a node.
+	 * @param name - name of the command.
+	 * @param pair - whose node.
+	 */
+	async operateNode(name: string, pair: Pair): Promise<void> {
+		const args = ['dist/src/bin/turmericctl.js', name, `${pair.address}:${ports.operator}`];
+		await promisify(execFile)(process.execPath, args);
+	}
+
 	/** Starts everything, applies the declaration, and waits until all nodes take calls. */
 	async open(): Promise<void> {
 		await this.start();
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -177,7 +177,7 @@
 		const run = async (): Promise<AttemptResult> => {
 			const result = await this.parts.runnerTo(executor.id).run(attempt);
 			undo();
-			this.noteEnd(call, executor, result, clock.now() - startedAt);
+			this.noteEnd(call, executor, result, startedAt);
 			return result;
 		};
 
@@ -192,12 +192,12 @@
 		return {id, head, share: policy.share, deadline, isBounceable, body, cancellation};
 	}
 
-	private noteEnd(call: Call, executor: Member, result: AttemptResult, duration: Millis): void {
-		const {routing} = this.parts;
+	private noteEnd(call: Call, executor: Member, result: AttemptResult, sentAt: Millis): void {
+		const {routing, clock} = this.parts;
 		const load = result.end === AttemptEnd.Unknown ? undefined : result.load;
-		routing.noteEnded(executor.id, load);
+		routing.noteEnded(executor.id, sentAt, load);
 		if (result.end === AttemptEnd.Answered) {
-			this.hedgeTimer.add(call.head.service, duration);
+			this.hedgeTimer.add(call.head.service, clock.now() - sentAt);
 			return;
 		}
 
--- a/src/replay/summary.ts
+++ b/src/replay/summary.ts
@@ -43,7 +43,7 @@
 		p50: at(50),
 		p99: at(99),
 		p999: at(99.9),
-		max: durations.length > 0 ? Math.max(...durations) : 0,
+		max: durations.length > 0 ? at(100) : 0,
 	};
 }
 
--- a/src/routing/baselines.ts
+++ b/src/routing/baselines.ts
@@ -1,4 +1,5 @@
 import type {LoadReport} from '../call/index.js';
+import type {Millis} from '../clock/index.js';
 import type {Member} from '../membership/index.js';
 import type {Random} from '../random/index.js';
 import type {RoutingPolicy, RoutingQuery} from './routing-policy.js';
@@ -89,7 +90,7 @@
 		// Only reports count.
 	}
 
-	noteEnded(id: string, load: LoadReport | undefined): void {
+	noteEnded(id: string, _sentAt: Millis, load: LoadReport | undefined): void {
 		if (load) {
 			this.reports.set(id, load);
 		}
--- a/src/routing/expected-wait-policy.ts
+++ b/src/routing/expected-wait-policy.ts
@@ -12,7 +12,7 @@
 	[Distance.OtherRegion]: 17,
 };
 
-const sampleSize = 2;
+const sampleSize = 3;
 const defaultServiceTime: Millis = 10;
 const defaultSlots = 10;
 /** A report of load tells little once the calls it counted have been replaced by others. */
@@ -23,7 +23,8 @@
 const failurePenalty = 20;
 const avoidPenalty: Millis = 10 * second;
 
-type Siblings = {load: number; serviceTime: Millis};
+/** What is usual among the executors of a service. */
+type Siblings = {othersLoad: number; serviceTime: Millis};
 type Parts = {clock: Pick<Clock, 'now'>; random: Random; self: () => Member};
 
 /**
@@ -69,16 +70,20 @@
 	noteSent(id: string): void {
 		const view = this.view(id);
 		view.outstanding += 1;
-		view.sentSince += 1;
+		view.sentAtSum += this.parts.clock.now();
 	}
 
-	noteEnded(id: string, load: LoadReport | undefined): void {
+	noteEnded(id: string, sentAt: Millis, load: LoadReport | undefined): void {
 		const view = this.view(id);
-		view.outstanding = Math.max(0, view.outstanding - 1);
+		if (view.outstanding > 0) {
+			view.outstanding -= 1;
+			view.sentAtSum -= sentAt;
+		}
+
 		if (load && load.slots > 0) {
 			view.load = load;
 			view.reportedAt = this.parts.clock.now();
-			view.sentSince = 0;
+			view.outstandingAtReport = view.outstanding;
 		}
 	}
 
@@ -119,10 +124,11 @@
 		let count = 0;
 		const serviceTimes: Millis[] = [];
 		for (const candidate of candidates) {
-			const report = this.views.get(candidate.id)?.load;
-			if (report) {
+			const view = this.views.get(candidate.id);
+			const report = view?.load;
+			if (view && report) {
 				count += 1;
-				load += report.inFlight + report.queued;
+				load += othersLoad(view, report);
 				serviceTimes.push(report.serviceTime);
 			}
 		}
@@ -130,7 +136,7 @@
 		// The median, as one straggler must not make its siblings look slow.
 		serviceTimes.sort((a, b) => a - b);
 		const serviceTime = serviceTimes[Math.floor((count - 1) / 2)] ?? defaultServiceTime;
-		return {load: count > 0 ? load / count : 0, serviceTime};
+		return {othersLoad: count > 0 ? load / count : 0, serviceTime};
 	}
 
 	private view(id: string): ExecutorView {
@@ -144,19 +150,30 @@
 	}
 }
 
+// Work that other ingresses had there; an ingress need not be told of its own.
+function othersLoad(view: ExecutorView, report: LoadReport): number {
+	return Math.max(0, report.inFlight + report.queued - view.outstandingAtReport);
+}
+
 function estimateLoad(view: ExecutorView, siblings: Siblings, now: Millis): number {
 	if (!view.load) {
-		return Math.max(view.outstanding, siblings.load);
+		return view.outstanding + siblings.othersLoad;
 	}
 
 	const age = now - view.reportedAt;
 	const horizon = loadTrustInServiceTimes * Math.max(1, view.load.serviceTime);
 	const trust = 1 / (1 + age / horizon);
-	const reported = view.load.inFlight + view.load.queued + view.sentSince;
-	return Math.max(view.outstanding, trust * reported + (1 - trust) * siblings.load);
+	const others = trust * othersLoad(view, view.load) + (1 - trust) * siblings.othersLoad;
+	return view.outstanding + others;
 }
 
+// Attempts that are out for longer than usual tell of a slow executor before they end.
 function estimateServiceTime(view: ExecutorView, siblings: Siblings, now: Millis): Millis {
+	const meanAge = view.outstanding > 0 ? now - view.sentAtSum / view.outstanding : 0;
+	return Math.max(meanAge, reportedServiceTime(view, siblings, now));
+}
+
+function reportedServiceTime(view: ExecutorView, siblings: Siblings, now: Millis): Millis {
 	if (!view.load) {
 		return siblings.serviceTime;
 	}
--- a/tests/configuration.test.ts
+++ b/tests/configuration.test.ts
@@ -24,7 +24,10 @@
 	);
 }
 
-async function applied(folder: string, ...args: string[]): Promise<{code: number; revision: number}> {
+async function applied(
+	folder: string,
+	...args: string[]
+): Promise<{code: number; revision: number}> {
 	const {code, output} = await deployment.operate('apply', folder, '--json', ...args);
 	const {revision} = JSON.parse(output) as {revision: number};
 	return {code, revision};
@@ -77,7 +80,9 @@
 		const folder = changedFolder('soon');
 		const {code, output} = await deployment.operate('apply', folder);
 		expect(code).toBe(2);
-		expect(output).toMatch(/templates\/stock\.ini:\d+: \[call\] deadline: "soon" is out of bounds/v);
+		expect(output).toMatch(
+			/templates\/stock\.ini:\d+: \[call\] deadline: "soon" is out of bounds/v,
+		);
 	});
 
 	it('resolves an answer that the store swallowed', async () => {
--- a/tests/departures.test.ts
+++ b/tests/departures.test.ts
@@ -17,7 +17,13 @@
 	resends: 0,
 	rate: 40,
 };
-const orders: CallKind = {...lookups, method: 'POST', path: '/orders', isIdempotent: false, rate: 20};
+const orders: CallKind = {
+	...lookups,
+	method: 'POST',
+	path: '/orders',
+	isIdempotent: false,
+	rate: 20,
+};
 
 function fault(at: number, kind: FaultKind, target: string): FaultEvent {
 	return {kind: TraceEventKind.Fault, at, fault: kind, target};
@@ -43,7 +49,7 @@
 			path: '/?ms=1500',
 		});
 		await deployment.waitFor('the call to run', async () => deployment.runsOf('in-flight') === 1);
-		await deployment.operate('drain', `${leaving!.address}:${ports.operator}`).catch(() => undefined);
+		await deployment.operateNode('drain', leaving!);
 		await deployment.setBehaviour(leaving!, {isDraining: true});
 		expect((await running).outcome).toBe('answered');
 		await deployment.waitFor('two to serve', async () => deployment.isServing(2));
