--- a/src/control/revision-agent.ts
+++ b/src/control/revision-agent.ts
@@ -116,7 +116,8 @@
 		return rendezvous(zoneName(self.region, self.zone), ids, readersPerZone);
 	}
 
-	private get isReader(): boolean {
+	/** Whether this node reads the store for its zone. */
+	get isReader(): boolean {
 		return this.readers().includes(this.parts.gossip.account.id);
 	}
 
--- /dev/null
+++ b/src/link/__tests__/unit/frame-codec.test.ts
@@ -0,0 +1,82 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {AttemptState, RefusalReason} from '../../../call/index.js';
+import {decodeFrame, encodeFrame, FrameDecodeError, FrameType, OpenTarget, type Frame} from '../../index.js';
+
+const load = {inFlight: 3, queued: 1, slots: 10, serviceTime: 12.5, failureShare: 0.25};
+const frames: Frame[] = [
+	{type: FrameType.Challenge, version: 1, nonce: 'n'},
+	{type: FrameType.Hello, version: 1, id: 'a', instance: 'i', region: 'r', nonce: 'n', proof: 'p'},
+	{type: FrameType.Welcome, id: 'a', instance: 'i', region: 'r', proof: 'p'},
+	{
+		type: FrameType.Open,
+		stream: 2,
+		target: OpenTarget.KeyHome,
+		sequence: 9,
+		service: 's',
+		customer: 'c',
+		method: 'POST',
+		path: '/',
+		headers: ['x', 'y'],
+		isIdempotent: false,
+		key: undefined,
+		fingerprint: 'f',
+		share: 1,
+		isBounceable: true,
+		timeLeft: 12.5,
+		body: undefined,
+	},
+	{type: FrameType.Credit, stream: 2, bytes: 100},
+	{type: FrameType.End, stream: 2, trailers: ['a', 'b']},
+	{type: FrameType.Refused, stream: 2, reason: RefusalReason.Draining, load},
+	{type: FrameType.Failed, stream: 2, reason: RefusalReason.BackendLost},
+	{type: FrameType.Cancel, stream: 2},
+	{type: FrameType.Ask, question: 1, sequence: 9},
+	{type: FrameType.Told, question: 1, state: AttemptState.Ran},
+	{type: FrameType.Beat},
+	{type: FrameType.Leaving},
+	{type: FrameType.Fetch, question: 3, hash: 'h'},
+	{type: FrameType.Fetched, question: 3, content: undefined},
+	{type: FrameType.HandoverTaken, question: 4},
+];
+
+describe('frame codec', () => {
+	it.each(frames)('carries a frame of type $type unchanged', (frame) => {
+		expect(decodeFrame(encodeFrame(frame))).toEqual(frame);
+	});
+
+	it('carries bytes unchanged', () => {
+		const bytes = Uint8Array.from([1, 2, 3]);
+		const frame = decodeFrame(encodeFrame({type: FrameType.Data, stream: 4, bytes}));
+		expect(frame).toMatchObject({type: FrameType.Data, stream: 4});
+		expect(frame.type === FrameType.Data && [...frame.bytes]).toEqual([1, 2, 3]);
+	});
+
+	it('turns any bytes into a frame or a decode error', () => {
+		fc.assert(
+			fc.property(fc.uint8Array({maxLength: 200}), (bytes) => {
+				try {
+					decodeFrame(bytes);
+				} catch (err) {
+					expect(err).toBeInstanceOf(FrameDecodeError);
+				}
+			}),
+			{seed: 20_261_204, numRuns: 3000},
+		);
+	});
+
+	it('turns a damaged frame into a frame or a decode error', () => {
+		fc.assert(
+			fc.property(fc.nat(frames.length - 1), fc.nat(), fc.integer({min: 0, max: 255}), (which, at, value) => {
+				const bytes = Uint8Array.from(encodeFrame(frames[which]!));
+				bytes[at % bytes.length] = value;
+				try {
+					decodeFrame(bytes);
+				} catch (err) {
+					expect(err).toBeInstanceOf(FrameDecodeError);
+				}
+			}),
+			{seed: 20_261_204, numRuns: 3000},
+		);
+	});
+});
--- /dev/null
+++ b/src/membership/__tests__/unit/gossip.test.ts
@@ -0,0 +1,180 @@
+import {describe, expect, it} from 'vitest';
+import {ManualClock} from '../../../clock/index.js';
+import {createRandom} from '../../../random/index.js';
+import {
+	createSelf,
+	decodeGossip,
+	defaultGossipSettings,
+	encodeGossip,
+	Gossip,
+	isRoutable,
+	Liveness,
+	MemberPhase,
+	type Member,
+} from '../../index.js';
+
+const news = {accepted: 0, acceptedHash: '', staged: 0, stagedHash: ''};
+const delay = 1;
+const zoneOf = (i: number) => ({region: i % 2 === 0 ? 'harju' : 'parnu', zone: `zone-${i % 4}`});
+
+/** A few members whose datagrams meet in one small fake. */
+class Group {
+	readonly clock = new ManualClock();
+	readonly random = createRandom(20_261_204);
+	readonly nodes = new Map<string, Gossip>();
+	readonly stopped = new Set<string>();
+	loss = 0;
+	cut: ((from: Member, to: Member) => boolean) | undefined;
+
+	constructor(size: number) {
+		for (let i = 0; i < size; i++) {
+			this.add(`10.0.0.${i + 1}:7001`, i + 1, zoneOf(i));
+		}
+
+		for (const node of this.nodes.values()) {
+			node.join('10.0.0.1:7001');
+		}
+	}
+
+	add(id: string, incarnation: number, place: {region: string; zone: string}): Gossip {
+		const node: Gossip = new Gossip(createSelf(id, incarnation, place), {
+			settings: defaultGossipSettings,
+			clock: this.clock,
+			random: this.random,
+			host: {
+				send: (to, message) => {
+					this.carry(node, to, encodeGossip(message));
+				},
+				mayProbe: () => true,
+				revisionNews: () => news,
+				hearRevisionNews: () => undefined,
+				hearRumor: () => undefined,
+				hearHeld: () => undefined,
+				hearPause: () => undefined,
+			},
+		});
+		this.nodes.set(id, node);
+		node.declare({phase: MemberPhase.Serving, service: 's', slots: 10});
+		return node;
+	}
+
+	run(span: number): void {
+		const step = 20;
+		for (let passed = 0; passed < span; passed += step) {
+			this.clock.advance(step);
+			for (const [id, node] of this.nodes) {
+				if (this.stopped.has(id)) {
+					continue;
+				}
+
+				if (Math.round(this.clock.now()) % defaultGossipSettings.probePeriod === 0) {
+					node.tick();
+				} else {
+					node.check();
+				}
+			}
+		}
+	}
+
+	/** @returns how many of the running nodes see so many members that can be given work. */
+	agreeing(count: number): number {
+		let agreeing = 0;
+		for (const [id, node] of this.nodes) {
+			const seen = [...node.directory.all()].filter((member) => isRoutable(member)).length;
+			agreeing += !this.stopped.has(id) && seen === count ? 1 : 0;
+		}
+
+		return agreeing;
+	}
+
+	private carry(from: Gossip, to: string, bytes: Uint8Array): void {
+		const target = this.nodes.get(to);
+		const isLost = this.random.next() < this.loss;
+		if (!target || isLost || this.stopped.has(from.account.id)) {
+			return;
+		}
+
+		if (this.cut?.(from.account, target.account)) {
+			return;
+		}
+
+		this.clock.after(delay, () => {
+			if (!this.stopped.has(to)) {
+				target.receive(decodeGossip(bytes));
+			}
+		});
+	}
+}
+
+describe('Gossip', () => {
+	it('lets members that start together know each other', () => {
+		const group = new Group(24);
+		group.run(5000);
+		expect(group.agreeing(24)).toBe(24);
+	});
+
+	it('takes a killed member out of routing in its region within a second', () => {
+		const group = new Group(24);
+		group.run(6000);
+		group.stopped.add('10.0.0.5:7001');
+		group.run(1000);
+		const mates = [...group.nodes.values()].filter(
+			(node) => node.account.region === 'harju' && node.account.id !== '10.0.0.5:7001',
+		);
+		for (const node of mates) {
+			expect(isRoutable(node.directory.get('10.0.0.5:7001')!)).toBe(false);
+		}
+
+		group.run(10_000);
+		expect(group.agreeing(23)).toBe(23);
+	});
+
+	it('takes a frozen member back once it goes on', () => {
+		const group = new Group(12);
+		group.run(5000);
+		group.stopped.add('10.0.0.2:7001');
+		group.run(8000);
+		expect(group.agreeing(11)).toBe(11);
+		group.stopped.delete('10.0.0.2:7001');
+		group.run(8000);
+		expect(group.agreeing(12)).toBe(12);
+	});
+
+	it('finds its members again after a cut in which each side took the other for dead', () => {
+		const group = new Group(16);
+		group.run(5000);
+		group.cut = (from, to) => from.region !== to.region;
+		group.run(20_000);
+		expect(group.agreeing(8)).toBe(16);
+		group.cut = undefined;
+		group.run(20_000);
+		expect(group.agreeing(16)).toBe(16);
+	});
+
+	it('holds nobody for dead under a loss of 30 in 100 datagrams', () => {
+		const group = new Group(24);
+		group.run(5000);
+		group.loss = 0.3;
+		group.run(60_000);
+		const dead = [...group.nodes.values()].flatMap((node) =>
+			[...node.directory.all()].filter((member) => member.liveness === Liveness.Dead),
+		);
+		expect(dead).toEqual([]);
+	});
+
+	it('never mixes up two incarnations at one address', () => {
+		const group = new Group(8);
+		group.run(5000);
+		group.stopped.add('10.0.0.3:7001');
+		group.run(500);
+		group.stopped.delete('10.0.0.3:7001');
+		const reborn = group.add('10.0.0.3:7001', 1000, zoneOf(2));
+		reborn.join('10.0.0.1:7001');
+		group.run(8000);
+		for (const node of group.nodes.values()) {
+			expect(node.directory.get('10.0.0.3:7001')?.incarnation).toBe(1000);
+		}
+
+		expect(group.agreeing(8)).toBe(8);
+	});
+});
--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -1,6 +1,6 @@
 import {randomInt} from 'node:crypto';
 import {createActor} from 'xstate';
-import {ClaimWriter, KeyedCalls, type KeyHome} from '../claims/index.js';
+import {ClaimSweeper, ClaimWriter, KeyedCalls, sweepPeriod, type KeyHome} from '../claims/index.js';
 import {Deadline, RefusalReason} from '../call/index.js';
 import {second, type Clock, type Millis} from '../clock/index.js';
 import {DeclarationStore, handoverPrefix, RevisionAgent} from '../control/index.js';
@@ -180,6 +180,7 @@
 		this.startGossip();
 		this.revisions.start();
 		this.probe.start();
+		this.startSweeping();
 		this.clock.repeat(readyPollPeriod, () => {
 			this.checkReady();
 		});
@@ -389,6 +390,20 @@
 		}
 	}
 
+	private startSweeping(): void {
+		const {store} = this;
+		if (!store) {
+			return;
+		}
+
+		const sweeper = new ClaimSweeper(this.clock, store);
+		this.clock.repeat(sweepPeriod, () => {
+			if (this.revisions.isReader) {
+				void sweeper.sweep();
+			}
+		});
+	}
+
 	private startGossip(): void {
 		this.clock.repeat(defaultGossipSettings.probePeriod, () => {
 			this.gossip.tick();
