--- a/scaffold/stand-ins/backend-server.ts
+++ b/scaffold/stand-ins/backend-server.ts
@@ -149,7 +149,12 @@
 	const payload = Buffer.concat([Buffer.from(text), Buffer.alloc(size, 'x')]);
 	res.setHeader('content-type', 'application/json');
 	res.setHeader('x-backend', `${values.address}:${values.port}`);
-	if (isChunked) {
+	const breakAfter = url.searchParams.get('break-after');
+	if (breakAfter !== null) {
+		// Promises the whole answer and dies in the middle of it.
+		res.setHeader('content-length', payload.length);
+		res.write(payload.subarray(0, Number(breakAfter)), () => res.destroy());
+	} else if (isChunked) {
 		res.setHeader('trailer', 'x-check');
 		res.write(payload);
 		res.addTrailers({'x-check': String(payload.length)});
