--- /dev/null
+++ b/src/ingress/__tests__/unit/call-runner.test.ts
@@ -0,0 +1,172 @@
+import {describe, expect, it} from 'vitest';
+import {Deadline, RefusalReason, type LoadReport} from '../../../call/index.js';
+import {ManualClock} from '../../../clock/index.js';
+import {DeclarationIndex, type CallPolicy, type ServicePolicy} from '../../../declaration/index.js';
+import {
+	AttemptEnd,
+	Cancellation,
+	createRefused,
+	createUnknown,
+	createWholeBody,
+	type Attempt,
+	type AttemptResult,
+} from '../../../exchange/index.js';
+import {createSelf, defaultGossipSettings, Gossip, MemberPhase} from '../../../membership/index.js';
+import {createRandom} from '../../../random/index.js';
+import {ExpectedWaitPolicy} from '../../../routing/index.js';
+import {Metrics} from '../../../telemetry/index.js';
+import {CallRunner, type Call} from '../../index.js';
+
+const load: LoadReport = {inFlight: 0, queued: 0, slots: 10, serviceTime: 10, failureShare: 0};
+const service: ServicePolicy = {
+	service: 's',
+	kind: 'k',
+	queue: 10,
+	warmUp: 0,
+	probeBudget: 6,
+	isOtherRegionAllowed: true,
+};
+const policy: CallPolicy = {
+	service: 's',
+	customer: 'c',
+	deadline: 1000,
+	maxDeadline: 1000,
+	idempotentMethods: ['GET'],
+	idempotentPaths: [],
+	maxAttempts: 3,
+	retryShare: 0.1,
+	hedgeShare: 0,
+	share: 1,
+	keyRetention: 60_000,
+};
+const index = new DeclarationIndex(1, {deployment: 'd', services: [service], calls: [policy], links: []});
+const news = {accepted: 0, acceptedHash: '', staged: 0, stagedHash: ''};
+
+function createRunner(
+	executors: number,
+	answer: (attempt: Attempt, executor: string) => AttemptResult,
+): CallRunner {
+	const clock = new ManualClock(1000);
+	const random = createRandom(1);
+	const place = {region: 'r', zone: 'z'};
+	const gossip = new Gossip(createSelf('10.0.0.1:7001', 1, place), {
+		settings: defaultGossipSettings,
+		clock,
+		random,
+		host: {
+			send: () => undefined,
+			mayProbe: () => true,
+			revisionNews: () => news,
+			hearRevisionNews: () => undefined,
+			hearRumor: () => undefined,
+			hearHeld: () => undefined,
+			hearPause: () => undefined,
+		},
+	});
+	for (let i = 0; i < executors; i++) {
+		const member = createSelf(`10.0.1.${i + 1}:7001`, 1, place);
+		gossip.directory.merge({...member, phase: MemberPhase.Serving, service: 's', slots: 10});
+	}
+
+	return new CallRunner({
+		clock,
+		metrics: new Metrics(),
+		gossip,
+		routing: new ExpectedWaitPolicy({clock, random, self: () => gossip.account}),
+		instance: 'i',
+		runnerTo: (executor) => ({run: async (attempt) => answer(attempt, executor)}),
+	});
+}
+
+function createCall(isIdempotent: boolean): Call {
+	return {
+		head: {
+			service: 's',
+			customer: 'c',
+			method: isIdempotent ? 'GET' : 'POST',
+			path: '/',
+			headers: [],
+			isIdempotent,
+			key: undefined,
+			fingerprint: 'f',
+		},
+		policy,
+		service,
+		index,
+		deadline: new Deadline(2000),
+		body: createWholeBody(new Uint8Array()),
+		cancellation: new Cancellation(),
+	};
+}
+
+const answered: AttemptResult = {
+	end: AttemptEnd.Answered,
+	status: 200,
+	headers: [],
+	body: createWholeBody(new Uint8Array()),
+	load,
+};
+
+describe('CallRunner', () => {
+	it.each([
+		['break off', createUnknown(RefusalReason.BackendLost)],
+		['are full', createRefused(RefusalReason.QueueFull, load)],
+	])('keeps attempts within 1.2 of the calls when all backend servers %s', async (_name, result) => {
+		let attempts = 0;
+		const runner = createRunner(6, () => {
+			attempts += 1;
+			return result;
+		});
+		const calls = 1000;
+		for (let i = 0; i < calls; i++) {
+			await runner.run(createCall(true));
+		}
+
+		expect(attempts).toBeLessThanOrEqual(calls * 1.2);
+	});
+
+	it('never sends a call again that may have run and may not run twice', async () => {
+		let attempts = 0;
+		const runner = createRunner(6, () => {
+			attempts += 1;
+			return createUnknown(RefusalReason.ExecutorLost);
+		});
+		const {result} = await runner.run(createCall(false));
+		expect(result).toMatchObject({end: AttemptEnd.Unknown});
+		expect(attempts).toBe(1);
+	});
+
+	it('goes elsewhere without the caller noticing when an executor drains', async () => {
+		const tried = new Set<string>();
+		const runner = createRunner(4, (_attempt, executor) => {
+			tried.add(executor);
+			return tried.size < 4 ? createRefused(RefusalReason.Draining, load) : answered;
+		});
+		const {result, attempts} = await runner.run(createCall(false));
+		expect(result.end).toBe(AttemptEnd.Answered);
+		expect(attempts).toBe(4);
+	});
+
+	it('never gives one call to a third backend server after two broke', async () => {
+		let attempts = 0;
+		const runner = createRunner(6, () => {
+			attempts += 1;
+			return createUnknown(RefusalReason.BackendLost);
+		});
+		await runner.run(createCall(true));
+		expect(attempts).toBe(2);
+	});
+
+	it('never uses the id of an attempt again', async () => {
+		const ids: number[] = [];
+		const runner = createRunner(4, (attempt) => {
+			ids.push(attempt.id.sequence);
+			return ids.length % 2 === 0 ? answered : createRefused(RefusalReason.Busy, load);
+		});
+		for (let i = 0; i < 20; i++) {
+			await runner.run(createCall(true));
+		}
+
+		expect(new Set(ids).size).toBe(ids.length);
+	});
+});
