Make room in a full queue for a customer within its share

While it had nothing waiting, the flood filled the whole queue, so that it met a full queue; and its wait was predicted by all calls with an earlier deadline, though customers are served in turn. Ruled out: the order of service (by share already). Change: a full queue gives up the last call of a customer beyond its share for one within its share; the prediction counts a customer's own calls times the shares.

--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -155,38 +155,67 @@
 			return RefusalReason.Busy;
 		}
 
-		if (this.queue.length >= this.limits.queue) {
-			return RefusalReason.QueueFull;
+		if (this.isOverShare(ticket, ticket)) {
+			return RefusalReason.CustomerShare;
 		}
 
-		if (this.isOverShare(ticket)) {
-			return RefusalReason.CustomerShare;
+		if (this.predictedTime(ticket) > timeLeft) {
+			return RefusalReason.DeadlineTooShort;
 		}
 
-		return this.predictedTime(ticket) > timeLeft ? RefusalReason.DeadlineTooShort : undefined;
+		return this.hasRoomFor(ticket) ? undefined : RefusalReason.QueueFull;
 	}
 
-	// A customer may use all that is free, but not more than its share once others compete.
-	private isOverShare(ticket: Ticket): boolean {
-		let total = ticket.share;
-		for (const [customer, usage] of this.usage) {
-			total += customer === ticket.customer ? 0 : usage.share;
+	// A full queue makes room for a customer within its share at the cost of one beyond its own.
+	private hasRoomFor(ticket: Ticket): boolean {
+		if (this.queue.length < this.limits.queue) {
+			return true;
 		}
 
+		const victim = this.queue.findLast(
+			(other) => other.customer !== ticket.customer && this.isOverShare(other, ticket),
+		);
+		if (!victim) {
+			return false;
+		}
+
+		this.withdraw(victim);
+		victim.refuse(RefusalReason.CustomerShare);
+		return true;
+	}
+
+	// A customer may use all that is free, but not more than its share once others compete.
+	private isOverShare(ticket: Ticket, newcomer: Ticket): boolean {
 		const usage = this.usage.get(ticket.customer);
 		const used = (usage?.running ?? 0) + (usage?.queued ?? 0);
 		const capacity = this.limits.slots + this.limits.queue;
-		return used >= Math.max(1, (capacity * ticket.share) / total);
+		return used >= Math.max(1, (capacity * ticket.share) / this.totalShare(newcomer));
+	}
+
+	private totalShare(newcomer: Ticket): number {
+		let total = newcomer.share;
+		for (const [customer, usage] of this.usage) {
+			total += customer === newcomer.customer ? 0 : usage.share;
+		}
+
+		return total;
 	}
 
 	private predictedTime(ticket: Ticket): Millis {
-		let ahead = 1 + Math.max(0, this.running.size - this.limits.slots);
+		let ahead = 1;
+		let ownAhead = 1;
 		for (const other of this.queue) {
-			ahead += other.deadline.at <= ticket.deadline.at ? 1 : 0;
+			const isAhead = other.deadline.at <= ticket.deadline.at;
+			ahead += isAhead ? 1 : 0;
+			ownAhead += isAhead && other.customer === ticket.customer ? 1 : 0;
 		}
 
+		// Customers are served in turn by their shares, however many calls another has waiting.
+		const fairAhead = (ownAhead * this.totalShare(ticket)) / ticket.share;
+		const excess = Math.max(0, this.running.size - this.limits.slots);
+		const places = Math.min(ahead, fairAhead) + excess;
 		const serviceTime = this.currentServiceTime();
-		return (ahead / Math.max(1, this.limits.slots)) * serviceTime + serviceTime;
+		return (places / Math.max(1, this.limits.slots)) * serviceTime + serviceTime;
 	}
 
 	// Calls that run for longer than usual tell of a slow backend server before they end.
