Never run a copy without its claim, nor call it not run unasked

Cause of a call that ran twice: a node that could not claim a key, as the store was down, kept a record that the call had not run. The next copy there found the record, took the node for the home of the key, and started without a claim, though another node owned it. Found by a test of something else: a copy was told 'not run' while the store was down, although an earlier copy had run. Ruled out: two claims (one row), and the buckets (one). Change: a claim that fails leaves no record; a copy that is refused before the home of its key was asked is told 'unknown', with reasons of its own (store- unavailable and key-memory-full change their outcome, key-not-checked is new); what never reached a home is unknown too.

--- a/scaffold/replay/html-report.ts
+++ b/scaffold/replay/html-report.ts
@@ -71,7 +71,10 @@
 	return `<svg width="${width}" height="${names.length * 16 + 4}">${rows.join('')}</svg>`;
 }
 
-function table(head: readonly string[], rows: ReadonlyArray<ReadonlyArray<number | string>>): string {
+function table(
+	head: readonly string[],
+	rows: ReadonlyArray<ReadonlyArray<number | string>>,
+): string {
 	const cells = (row: ReadonlyArray<number | string>, tag: string) =>
 		row.map((cell) => `<${tag}>${escape(String(cell))}</${tag}>`).join('');
 	const body = rows.map((row) => `<tr>${cells(row, 'td')}</tr>`).join('');
--- a/src/call/refusal-reason.ts
+++ b/src/call/refusal-reason.ts
@@ -24,6 +24,7 @@
 	TooManyCalls = 'too-many-calls',
 	StoreUnavailable = 'store-unavailable',
 	KeyMemoryFull = 'key-memory-full',
+	KeyNotChecked = 'key-not-checked',
 	KeyReused = 'key-reused',
 	KeyHomeUnreachable = 'key-home-unreachable',
 	Canceled = 'canceled',
@@ -63,6 +64,12 @@
 	};
 }
 
+/** This copy did not run, but whether an earlier copy did could not be asked. */
+function notChecked(status: number): Refusal {
+	const retryAfter = 5 * second;
+	return {outcome: Outcome.Unknown, status, retryAfter, isElsewhereUseful: false};
+}
+
 /** The catalogue of refusals: the same status and words for every refusal of one reason. */
 export const refusals: Readonly<Record<RefusalReason, Refusal>> = {
 	[RefusalReason.BadRequest]: notRun(400),
@@ -84,8 +91,9 @@
 	[RefusalReason.LinkBudget]: notRun(unavailable, second),
 	[RefusalReason.LinkUnreachable]: notRun(unavailable, second, true),
 	[RefusalReason.TooManyCalls]: notRun(429, second),
-	[RefusalReason.StoreUnavailable]: notRun(unavailable, 5 * second),
-	[RefusalReason.KeyMemoryFull]: notRun(429, 5 * second),
+	[RefusalReason.StoreUnavailable]: notChecked(unavailable),
+	[RefusalReason.KeyMemoryFull]: notChecked(429),
+	[RefusalReason.KeyNotChecked]: notChecked(unavailable),
 	[RefusalReason.KeyReused]: notRun(422),
 	[RefusalReason.KeyHomeUnreachable]: unknown(),
 	[RefusalReason.Canceled]: unknown(),
--- a/src/claims/keyed-calls.ts
+++ b/src/claims/keyed-calls.ts
@@ -13,6 +13,7 @@
 	createRefused,
 	createUnknown,
 	createWholeBody,
+	type Attempt,
 	type AttemptResult,
 } from '../exchange/index.js';
 import type {Call, CallEnd} from '../ingress/index.js';
@@ -113,6 +114,22 @@
 		return endWith(createUnknown(RefusalReason.KeyForgotten));
 	}
 
+	/**
+	 * Another node has sent an attempt to this node as the home of its key.
+	 * @param attempt - the attempt.
+	 * @param call - the call that it belongs to; undefined when it is not declared here.
+	 * @returns how it ended.
+	 */
+	async runAttempt(attempt: Attempt, call: Call | undefined): Promise<AttemptResult> {
+		const {key} = attempt.head;
+		if (!call || key === undefined) {
+			return createUnknown(RefusalReason.KeyNotChecked);
+		}
+
+		const end = await this.runAsHome(call, key);
+		return end.result;
+	}
+
 	/** @returns what another node must remember when this one leaves. */
 	exportRecords(): Uint8Array {
 		const now = this.parts.clock.now();
@@ -163,6 +180,8 @@
 		return this.runHere(id, call, async () => {
 			const home = await claims.claim(id, call.policy.keyRetention);
 			if (!home) {
+				// A record that stays would let the next copy run without a claim.
+				this.ledger.drop(id);
 				return endWith(createRefused(RefusalReason.StoreUnavailable));
 			}
 
--- a/src/control/revision-agent.ts
+++ b/src/control/revision-agent.ts
@@ -5,7 +5,7 @@
 import {sample, type Random} from '../random/index.js';
 import {StoreUnavailableError} from '../store/index.js';
 import {logEvents, type Logger} from '../telemetry/index.js';
-import {rendezvous, withResolvers} from '../util/index.js';
+import {pause, rendezvous} from '../util/index.js';
 import {HeadWrite, type DeclarationStore, type HeadRow} from './declaration-store.js';
 import {zoneName} from './store-keys.js';
 import {ZoneHoldings} from './zone-holdings.js';
@@ -199,7 +199,7 @@
 			return;
 		}
 
-		const result = await store.acceptStaged(row, async () => this.pause(pollPeriod));
+		const result = await store.acceptStaged(row, async () => pause(this.parts.clock, pollPeriod));
 		if (result === HeadWrite.Written) {
 			const head = await store.readHead();
 			this.hear(newsOf(head), this.parts.gossip.account.id);
@@ -297,14 +297,6 @@
 			throw err;
 		}
 	}
-
-	private async pause(span: Millis): Promise<void> {
-		const {promise, resolve} = withResolvers<void>();
-		this.parts.clock.after(span, () => {
-			resolve();
-		});
-		return promise;
-	}
 }
 
 function newsOf(row: HeadRow): RevisionNews {
--- a/src/datagram/gossip-socket.ts
+++ b/src/datagram/gossip-socket.ts
@@ -2,7 +2,7 @@
 import {createSocket, type Socket} from 'node:dgram';
 import {decodeGossip, encodeGossip, type GossipMessage} from '../membership/index.js';
 import {parseEndpoint} from '../settings/index.js';
-import {withResolvers} from '../util/index.js';
+import {bound} from '../net/index.js';
 
 /** Why a datagram was dropped. The values are part of the metrics. */
 export enum DatagramReject {
@@ -45,15 +45,9 @@
 	 * @param port - UDP port.
 	 */
 	async bind(address: string, port: number): Promise<void> {
-		const {promise, resolve} = withResolvers<Error | undefined>();
-		this.socket.once('error', resolve);
-		this.socket.bind(port, address, () => {
-			resolve(undefined);
+		await bound(this.socket, (done) => {
+			this.socket.bind(port, address, done);
 		});
-		const err = await promise;
-		if (err) {
-			throw err;
-		}
 	}
 
 	/**
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -14,6 +14,7 @@
 import {AttemptEnd, Cancellation, type AnsweredAttempt, type Body} from '../exchange/index.js';
 import {stripHeaders} from '../executor/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
+import {bound} from '../net/index.js';
 import {withResolvers} from '../util/index.js';
 import type {Call, CallEnd} from './call.js';
 import {fingerprint} from './fingerprint.js';
@@ -99,15 +100,9 @@
 	 * @param port - TCP port.
 	 */
 	async listen(address: string, port: number): Promise<void> {
-		const {promise, resolve} = withResolvers<Error | undefined>();
-		this.server.once('error', resolve);
-		this.server.listen(port, address, () => {
-			resolve(undefined);
+		await bound(this.server, (done) => {
+			this.server.listen(port, address, done);
 		});
-		const err = await promise;
-		if (err) {
-			throw err;
-		}
 	}
 
 	/** Asks callers to go elsewhere: each connection ends with its next answer. */
@@ -298,7 +293,7 @@
 		if (err instanceof RefusedRequestError && !res.headersSent) {
 			// What is left of the request is not read: the connection ends with the refusal.
 			res.shouldKeepAlive = res.req.complete;
-			return this.sendRefusal(res, err.reason, []);
+			return this.sendRefusal(res, reasonFor(res.req, err.reason), []);
 		}
 
 		this.parts.logger.log(logEvents.unexpectedError, {error: String(err)});
@@ -337,6 +332,12 @@
 	}
 }
 
+// With a key, a refusal before its home was asked says nothing of earlier copies.
+function reasonFor(req: IncomingMessage, reason: RefusalReason): RefusalReason {
+	const hasKey = readHeader(req, keyHeader) !== undefined;
+	return hasKey && reason !== RefusalReason.BadRequest ? RefusalReason.KeyNotChecked : reason;
+}
+
 function badRequestStatus(err: NodeJS.ErrnoException): string {
 	switch (err.code) {
 		case 'HPE_HEADER_OVERFLOW': {
--- a/src/link/link-hub.ts
+++ b/src/link/link-hub.ts
@@ -8,9 +8,10 @@
 	type AttemptResult,
 	type AttemptRunner,
 } from '../exchange/index.js';
+import {bound} from '../net/index.js';
 import {parseEndpoint} from '../settings/index.js';
 import {logEvents, type Logger, type Metrics, type TrafficKind} from '../telemetry/index.js';
-import {invariant, withResolvers} from '../util/index.js';
+import {invariant, pause, withResolvers} from '../util/index.js';
 import {FrameType, OpenTarget, type Frame} from './frame.js';
 import {Link, LinkCloseReason, LinkRole, type LinkOwner, type PeerIdentity} from './link.js';
 import {beatPeriod, maxFrameBytes, openTimeout} from './link-limits.js';
@@ -73,17 +74,12 @@
 	 * @param port - TCP port.
 	 */
 	async listen(port: number): Promise<void> {
-		const {promise, resolve} = withResolvers<Error | undefined>();
 		const server = new WebSocketServer({
 			host: this.parts.address,
 			port,
 			maxPayload: maxFrameBytes,
 			perMessageDeflate: false,
 		});
-		server.once('listening', () => {
-			resolve(undefined);
-		});
-		server.once('error', resolve);
 		server.on('connection', (socket) => {
 			this.watchOpening(new Link(socket, LinkRole.Acceptor, this.owner));
 		});
@@ -91,10 +87,9 @@
 		this.undoBeat = this.owner.clock.repeat(beatPeriod, () => {
 			this.watch();
 		});
-		const err = await promise;
-		if (err) {
-			throw err;
-		}
+		await bound(server, (done) => {
+			server.once('listening', done);
+		});
 	}
 
 	/**
@@ -301,20 +296,12 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop
-			await this.pause(settleRetryPeriod);
+			await pause(this.owner.clock, settleRetryPeriod);
 		}
 
 		return createUnknown(RefusalReason.ExecutorLost);
 	}
 
-	private async pause(span: Millis): Promise<void> {
-		const {promise, resolve} = withResolvers<void>();
-		this.owner.clock.after(span, () => {
-			resolve();
-		});
-		return promise;
-	}
-
 	private watch(): void {
 		for (const session of this.byLink.values()) {
 			session.beat();
--- /dev/null
+++ b/src/net/index.ts
@@ -0,0 +1,1 @@
+export {bound} from './listen.js';
--- a/src/operations/operator-server.ts
+++ b/src/operations/operator-server.ts
@@ -1,6 +1,6 @@
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {FindingsError} from '../ini/index.js';
-import {withResolvers} from '../util/index.js';
+import {bound} from '../net/index.js';
 
 /** An answer to an operator. */
 export interface OperatorReply {
@@ -60,15 +60,9 @@
 	 * @param port - TCP port.
 	 */
 	async listen(address: string, port: number): Promise<void> {
-		const {promise, resolve} = withResolvers<Error | undefined>();
-		this.server.once('error', resolve);
-		this.server.listen(port, address, () => {
-			resolve(undefined);
+		await bound(this.server, (done) => {
+			this.server.listen(port, address, done);
 		});
-		const err = await promise;
-		if (err) {
-			throw err;
-		}
 	}
 
 	/** Takes no more requests. */
--- a/src/operator/change-applier.ts
+++ b/src/operator/change-applier.ts
@@ -15,7 +15,7 @@
 	type RevisionRecord,
 } from '../declaration/index.js';
 import {StoreUnavailableError} from '../store/index.js';
-import {withResolvers} from '../util/index.js';
+import {pause} from '../util/index.js';
 
 /** What an operator wants. */
 export interface ChangeRequest {
@@ -81,12 +81,12 @@
 			return early;
 		}
 
-		const pause = async () => this.pause(retryPeriod);
-		await this.store.putContent(hash, content, pause);
+		const wait = async () => pause(this.clock, retryPeriod);
+		await this.store.putContent(hash, content, wait);
 		const {author, message, changeId} = request;
 		const at = this.clock.wallNow();
 		const after = stage(row.head, {hash, author, message, changeId, at});
-		const written = await this.store.replaceHead(row, after, pause);
+		const written = await this.store.replaceHead(row, after, wait);
 		if (written === HeadWrite.Conflict) {
 			lifecycle.send({type: ChangeEvent.StageConflict});
 			return this.conflict(request);
@@ -102,7 +102,7 @@
 				return resultOf(lifecycle.getSnapshot().value, revision);
 			}
 
-			await this.pause(pollPeriod); // eslint-disable-line no-await-in-loop
+			await pause(this.clock, pollPeriod); // eslint-disable-line no-await-in-loop
 		}
 
 		return this.giveUp(request, revision);
@@ -159,7 +159,7 @@
 		const silentZones = await this.store.silentZones(revision);
 		const row = await this.store.readHead();
 		if (row.head.staged?.changeId === request.changeId) {
-			await this.store.withdrawStaged(row, async () => this.pause(retryPeriod));
+			await this.store.withdrawStaged(row, async () => pause(this.clock, retryPeriod));
 		}
 
 		// It may have been accepted in the meantime: the row tells.
@@ -189,14 +189,6 @@
 		const content = record && (await this.store.getContent(record.hash));
 		return content === undefined ? undefined : parseContent(content);
 	}
-
-	private async pause(span: Millis): Promise<void> {
-		const {promise, resolve} = withResolvers<void>();
-		this.clock.after(span, () => {
-			resolve();
-		});
-		return promise;
-	}
 }
 
 function result(outcome: ApplyOutcome, revision: number): ApplyResult {
