--- a/scaffold/stand-ins/backend-server.ts
+++ b/scaffold/stand-ins/backend-server.ts
@@ -1,5 +1,5 @@
 /** Stand-in for a backend server: answers after a drawn time, and keeps books of what it ran. */
-import {appendFileSync} from 'node:fs';
+import {openSync, writeSync} from 'node:fs';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
@@ -42,6 +42,7 @@
 const instance = `${process.pid}-${Date.now()}`;
 const random = createRandom(Number(values.seed));
 const announcePeriod = 1000;
+const book = openSync(values.book, 'a');
 let running = 0;
 
 function drawServiceTime(): number {
@@ -107,7 +108,7 @@
 /** The book is a file, so that it outlives a crash. */
 function note(callId: string): void {
 	const entry = {instance, callId, startedAt: Date.now(), running};
-	appendFileSync(values.book, `${JSON.stringify(entry)}\n`);
+	writeSync(book, `${JSON.stringify(entry)}\n`);
 }
 
 function runCall(req: IncomingMessage, res: ServerResponse, url: URL, body: Buffer): void {
