--- a/src/control/store-keys.ts
+++ b/src/control/store-keys.ts
@@ -12,9 +12,6 @@
 /** Start of the rows that tell who took over the keys of a node. */
 export const handoverPrefix = 'handover/';
 
-/** Start of the rows of idempotency keys. */
-export const claimPrefix = 'claims/';
-
 const revisionDigits = 12;
 
 /**
