Let a call wait when every executor is busy, and share one budget by region

Change: the call waits at one that was tried. Ruled out: the budgets of links, none of which is declared there. The new unit test passes with the change; it was not run without it. The same commit makes one class of the two copies of a node's share of a link. Checked: types, format, unit tests of the ingress; the whole test command and the linter were NOT RUN on this commit.

--- a/src/ingress/__tests__/unit/call-runner.test.ts
+++ b/src/ingress/__tests__/unit/call-runner.test.ts
@@ -165,6 +165,14 @@
 		expect(attempts).toBe(2);
 	});
 
+	it('waits at a busy executor when there is no other', async () => {
+		const runner = createRunner(1, (attempt) =>
+			attempt.isBounceable ? createRefused(RefusalReason.Busy, load) : answered,
+		);
+		const {result} = await runner.run(createCall(true));
+		expect(result.end).toBe(AttemptEnd.Answered);
+	});
+
 	it('never uses the id of an attempt again', async () => {
 		const ids: number[] = [];
 		const runner = createRunner(4, (attempt) => {
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -1,4 +1,4 @@
-import {RatioBudget, TokenBucket} from '../budget/index.js';
+import {RatioBudget, RegionBuckets, type TokenBucket} from '../budget/index.js';
 import {RefusalReason, refusals, type AttemptId} from '../call/index.js';
 import {second, type Clock, type Millis} from '../clock/index.js';
 import {
@@ -56,11 +56,13 @@
 	private readonly retries = new RatioBudget();
 	private readonly hedges = new RatioBudget();
 	private readonly bounces = new RatioBudget();
-	private readonly linkBudgets = new Map<string, TokenBucket>();
+	private readonly linkBudgets: RegionBuckets;
 	private readonly hedgeTimer = new HedgeTimer();
 	private sequence = 0;
 
-	constructor(private readonly parts: CallRunnerParts) {}
+	constructor(private readonly parts: CallRunnerParts) {
+		this.linkBudgets = new RegionBuckets(parts.clock);
+	}
 
 	/**
 	 * @param call - what to run.
@@ -79,7 +81,7 @@
 		};
 		let last: AttemptResult | undefined;
 		for (;;) {
-			const executor = this.choose(call, progress);
+			const executor = this.choose(call, progress) ?? this.chooseToWait(call, progress);
 			if (!executor) {
 				last ??= createRefused(this.reasonForNone(call));
 				break;
@@ -96,6 +98,17 @@
 		return {result: last, attempts: progress.attempts, executor: progress.executor};
 	}
 
+	// All were busy: the call waits at one of them, as a bounce is no refusal.
+	private chooseToWait(call: Call, progress: Progress): Member | undefined {
+		if (progress.bounces === 0 || progress.bounces >= maxBounces) {
+			return undefined;
+		}
+
+		progress.bounces = maxBounces;
+		progress.tried.clear();
+		return this.choose(call, progress);
+	}
+
 	private async attempt(call: Call, executor: Member, progress: Progress): Promise<AttemptResult> {
 		const isHedgeable = call.head.isIdempotent && call.body.bytes !== undefined;
 		const delay = isHedgeable ? this.hedgeTimer.delayFor(call.head.service) : undefined;
@@ -292,24 +305,10 @@
 	}
 
 	private linkBudget(call: Call, member: Member): TokenBucket | undefined {
-		const {gossip, clock} = this.parts;
-		const link = call.index.link(gossip.account.region, member.region);
-		if (!link) {
-			return undefined;
-		}
-
-		const known = this.linkBudgets.get(member.region);
-		const share = link.callBytesPerSecond / this.regionSize();
-		const bucket = known ?? new TokenBucket(clock, share, 2);
-		bucket.setRate(share);
-		this.linkBudgets.set(member.region, bucket);
-		return bucket;
-	}
-
-	// The budget of the link is shared by the nodes of the region, each with an equal part.
-	private regionSize(): number {
-		const {directory, account} = this.parts.gossip;
-		return Math.max(1, directory.countInRegion(account.region));
+		const {account, directory} = this.parts.gossip;
+		const link = call.index.link(account.region, member.region);
+		const nodes = directory.countInRegion(account.region);
+		return link && this.linkBudgets.bucket(member.region, link.callBytesPerSecond, nodes);
 	}
 
 	private chargeLink(call: Call, executor: Member): void {
--- a/src/node/link-budgets.ts
+++ b/src/node/link-budgets.ts
@@ -1,4 +1,4 @@
-import {TokenBucket} from '../budget/index.js';
+import {RegionBuckets, type TokenBucket} from '../budget/index.js';
 import type {Clock} from '../clock/index.js';
 import type {RevisionKeeper} from '../declaration/index.js';
 import type {Gossip, Member} from '../membership/index.js';
@@ -13,13 +13,13 @@
 	gossip(): Gossip;
 }
 
-const burst = 2;
-
 /** Counts and limits what control costs on the links between regions. */
 export class LinkBudgets {
-	private readonly buckets = new Map<string, TokenBucket>();
+	private readonly buckets: RegionBuckets;
 
-	constructor(private readonly parts: LinkBudgetsParts) {}
+	constructor(private readonly parts: LinkBudgetsParts) {
+		this.buckets = new RegionBuckets(parts.clock);
+	}
 
 	/**
 	 * @param member - a member that is to be probed.
@@ -39,18 +39,10 @@
 		this.bucket(region)?.charge(bytes);
 	}
 
-	// The budget of a link is shared by the nodes of the region, each with an equal part.
 	private bucket(region: string): TokenBucket | undefined {
 		const {account, directory} = this.parts.gossip();
 		const link = this.parts.keeper.inForce?.link(account.region, region);
-		if (!link) {
-			return undefined;
-		}
-
-		const share = link.controlBytesPerSecond / Math.max(1, directory.countInRegion(account.region));
-		const bucket = this.buckets.get(region) ?? new TokenBucket(this.parts.clock, share, burst);
-		bucket.setRate(share);
-		this.buckets.set(region, bucket);
-		return bucket;
+		const nodes = directory.countInRegion(account.region);
+		return link && this.buckets.bucket(region, link.controlBytesPerSecond, nodes);
 	}
 }
