--- a/bench/routing.ts
+++ b/bench/routing.ts
@@ -226,17 +226,19 @@
 			customer: 'c',
 			share: 1,
 			deadline: new Deadline(call.startedAt + timeout),
+			objective: new Deadline(call.startedAt + timeout),
+			priority: 0,
 			isBounceable: this.canBounce && call.bounces < maxBounces,
 			start: () => {
 				const isFailing = this.setup.isFailing?.(executor, clock.now()) ?? false;
 				const slowness = this.setup.slowness?.(executor, clock.now()) ?? 1;
 				clock.after(isFailing ? 1 : call.service * slowness, () => {
 					admission.release(ticket, isFailing);
-					told(isFailing ? RefusalReason.BackendLost : undefined, admission.report());
+					told(isFailing ? RefusalReason.BackendLost : undefined, {...admission.report(), slowdown: 1});
 				});
 			},
 			refuse(reason) {
-				told(reason, admission.report());
+				told(reason, {...admission.report(), slowdown: 1});
 			},
 		};
 		admission.request(ticket);
--- a/scaffold/deployment/process-group.ts
+++ b/scaffold/deployment/process-group.ts
@@ -37,6 +37,7 @@
 		const {name, args, readyText} = options;
 		const child = spawn(process.execPath, [...args], {stdio: ['ignore', 'pipe', 'pipe']});
 		const log = createWriteStream(join(this.logFolder, `${name}.log`), {flags: 'a'});
+		child.stdout.pipe(log, {end: false});
 		child.stderr.pipe(log, {end: false});
 		const ended = new Promise<number | undefined>((resolve) => {
 			child.once('exit', (code) => {
--- a/src/backend/__tests__/unit/admission.test.ts
+++ b/src/backend/__tests__/unit/admission.test.ts
@@ -14,6 +14,8 @@
 		customer,
 		share,
 		deadline: new Deadline(at),
+		objective: new Deadline(at),
+		priority: 0,
 		isBounceable: false,
 		state: 'waiting',
 		reason: undefined,
--- a/src/backend/__tests__/unit/overload.test.ts
+++ b/src/backend/__tests__/unit/overload.test.ts
@@ -34,6 +34,8 @@
 				customer,
 				share: 1,
 				deadline: new Deadline(startedAt + timeout),
+				objective: new Deadline(startedAt + timeout),
+				priority: 0,
 				isBounceable: false,
 				start() {
 					clock.after(time, () => {
--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -1,14 +1,14 @@
-import {RefusalReason, type Deadline, type LoadReport} from '../call/index.js';
+import {RefusalReason, type LoadReport} from '../call/index.js';
 import type {Clock, Millis} from '../clock/index.js';
 import {invariant} from '../util/index.js';
+import {compareUrgency, type Urgency} from './queue-order.js';
 import {ServiceTime} from './service-time.js';
 
 /** A call that asks for a slot. Exactly one of `start` and `refuse` is called, once. */
-export interface Ticket {
+export interface Ticket extends Urgency {
 	readonly customer: string;
 	/** Weight of the customer when calls compete. */
 	readonly share: number;
-	readonly deadline: Deadline;
 	/** Whether the call would rather be refused than wait, as it can try elsewhere. */
 	readonly isBounceable: boolean;
 	/** The slot is the caller's own until it is released. */
@@ -32,7 +32,7 @@
 
 /**
  * Decides which calls run at the backend server. Its slots are never exceeded; who waits is served
- * by fair shares between customers and by deadline within a customer; who cannot be served in time
+ * by fair shares between customers and by urgency within a customer; who cannot be served in time
  * is refused at once.
  */
 export class Admission {
@@ -131,7 +131,7 @@
 	}
 
 	/** @returns the load at this moment. */
-	report(): LoadReport {
+	report(): Omit<LoadReport, 'slowdown'> {
 		return {
 			inFlight: this.running.size,
 			queued: this.queue.length,
@@ -205,7 +205,7 @@
 		let ahead = 1;
 		let ownAhead = 1;
 		for (const other of this.queue) {
-			const isAhead = other.deadline.at <= ticket.deadline.at;
+			const isAhead = this.compare(other, ticket) <= 0;
 			ahead += isAhead ? 1 : 0;
 			ownAhead += isAhead && other.customer === ticket.customer ? 1 : 0;
 		}
@@ -241,8 +241,7 @@
 	}
 
 	private enqueue(ticket: Ticket): void {
-		const index = this.queue.findIndex((other) => other.deadline.at > ticket.deadline.at);
-		this.queue.splice(index === -1 ? this.queue.length : index, 0, ticket);
+		this.queue.push(ticket);
 		this.use(ticket).queued += 1;
 	}
 
@@ -259,7 +258,8 @@
 		let best = this.queue[0];
 		invariant(best !== undefined, 'the next ticket is taken from a queue that is not empty');
 		for (const ticket of this.queue) {
-			if (this.pressure(ticket) < this.pressure(best)) {
+			const byShare = this.pressure(ticket) - this.pressure(best);
+			if (byShare < 0 || (byShare === 0 && this.compare(ticket, best) < 0)) {
 				best = ticket;
 			}
 		}
@@ -267,6 +267,10 @@
 		return best;
 	}
 
+	private compare(a: Ticket, b: Ticket): number {
+		return compareUrgency(a, b, this.clock.now(), this.serviceTime.average);
+	}
+
 	private pressure(ticket: Ticket): number {
 		return (this.usage.get(ticket.customer)?.running ?? 0) / ticket.share;
 	}
--- /dev/null
+++ b/src/backend/backend-speed.ts
@@ -0,0 +1,48 @@
+import type {Millis} from '../clock/index.js';
+
+/** Neighbours on a host change within about this time. Source: the users' description of their hosts. */
+const speedMemory: Millis = 500;
+/** Weight of one reading in the long mean; about 30 s of readings at 5 a second. */
+const meanWeight = 0.01;
+/** Bounds of what is believed; a reading outside is cut. */
+const minSlowdown = 0.1;
+const maxSlowdown = 50;
+
+/** How fast a backend server works at this moment, from readings that grow old within half a second. */
+export class BackendSpeed {
+	private last = 1;
+	private mean = 1;
+	private readAt: Millis | undefined;
+
+	/** Slowdown over the long run. */
+	get usual(): number {
+		return this.mean;
+	}
+
+	/**
+	 * @param slowdown - how many times longer than usual work takes.
+	 * @param now - monotonic time in ms.
+	 */
+	read(slowdown: number, now: Millis): void {
+		this.last = Math.min(maxSlowdown, Math.max(minSlowdown, slowdown));
+		this.mean += (this.last - this.mean) * meanWeight;
+		this.readAt = now;
+	}
+
+	/**
+	 * @param now - monotonic time in ms.
+	 * @returns age of the last reading in ms; infinite before the first.
+	 */
+	age(now: Millis): Millis {
+		return this.readAt === undefined ? Number.POSITIVE_INFINITY : now - this.readAt;
+	}
+
+	/**
+	 * @param now - monotonic time in ms.
+	 * @returns the expected slowdown: the last reading, fading to the long mean.
+	 */
+	slowdown(now: Millis): number {
+		const trust = Math.exp(-this.age(now) / speedMemory);
+		return this.mean + (this.last - this.mean) * trust;
+	}
+}
--- /dev/null
+++ b/src/bin/node-program.ts
@@ -0,0 +1,105 @@
+import {readFileSync, watchFile} from 'node:fs';
+import process from 'node:process';
+import {command, flag, option, run, string} from 'cmd-ts';
+import {second} from '../clock/index.js';
+import {FindingsError} from '../ini/index.js';
+import {parseNodeSettings, type NodeSettings} from '../settings/index.js';
+import {createLogger, logEvents, type Logger} from '../telemetry/index.js';
+import {ExitCode} from './exit-code.js';
+import {packageVersion} from './package-version.js';
+
+/** A node that a program runs. */
+export interface RunnableNode {
+	/** Opens the ports and joins the others. */
+	start(): Promise<void>;
+	/** @returns whether everything in flight has ended in time. */
+	stop(): Promise<boolean>;
+}
+
+/** Builds the node that a program runs. */
+export type NodeFactory = (settings: NodeSettings, logger: Logger) => RunnableNode;
+
+/** How often the settings file is looked at, as it may change without a signal. */
+const settingsPollPeriod = 5 * second;
+
+function describeError(file: string, err: unknown): string {
+	return err instanceof FindingsError ? err.message : `${file}: ${String(err)}`;
+}
+
+function readSettings(file: string): NodeSettings {
+	return parseNodeSettings(file, readFileSync(file, 'utf8'));
+}
+
+// What is in force stays in force: addresses cannot change under open connections.
+function reload(file: string, known: NodeSettings, logger: Logger): void {
+	try {
+		const isChanged = JSON.stringify(readSettings(file)) !== JSON.stringify(known);
+		logger.log(logEvents.settingsReloaded, {file, isChanged, needsRestart: isChanged});
+	} catch (err) {
+		logger.log(logEvents.settingsRejected, {file, error: describeError(file, err)});
+	}
+}
+
+function watchSettings(file: string, settings: NodeSettings, logger: Logger): void {
+	process.on('SIGHUP', () => {
+		reload(file, settings, logger);
+	});
+	watchFile(file, {interval: settingsPollPeriod, persistent: false}, () => {
+		reload(file, settings, logger);
+	});
+}
+
+async function runNode(file: string, settings: NodeSettings, create: NodeFactory): Promise<void> {
+	const logger = createLogger(settings.logForm, settings.logLevel);
+	const node = create(settings, logger);
+	process.on('unhandledRejection', (err) => {
+		logger.log(logEvents.unexpectedError, {error: String(err)});
+	});
+	const stop = async () => {
+		const isClean = await node.stop();
+		process.exit(isClean ? ExitCode.Ok : ExitCode.Forced);
+	};
+
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(signal, () => {
+			void stop();
+		});
+	}
+
+	watchSettings(file, settings, logger);
+	await node.start();
+}
+
+/**
+ * Runs the command line of a node.
+ * @param name - name of the program.
+ * @param create - builds the node.
+ */
+export async function runNodeProgram(name: string, create: NodeFactory): Promise<void> {
+	const program = command({
+		name,
+		description: 'Balances calls from and to the backend server beside it.',
+		version: packageVersion(),
+		args: {
+			settings: option({type: string, long: 'settings', short: 's', description: 'INI file'}),
+			check: flag({long: 'check', description: 'check the settings and exit'}),
+		},
+		async handler({settings: file, check}) {
+			let settings: NodeSettings;
+			try {
+				settings = readSettings(file);
+			} catch (err) {
+				process.stderr.write(`${describeError(file, err)}\n`);
+				process.exitCode = ExitCode.Invalid;
+				return;
+			}
+
+			if (check) {
+				process.stdout.write(`${file}: the settings are valid\n`);
+			} else {
+				await runNode(file, settings, create);
+			}
+		},
+	});
+	await run(program, process.argv.slice(2));
+}
--- a/src/call/load-report.ts
+++ b/src/call/load-report.ts
@@ -12,4 +12,6 @@
 	readonly serviceTime: Millis;
 	/** Share of recent calls that failed, from 0 to 1. */
 	readonly failureShare: number;
+	/** How many times longer than usual work takes at this moment; 1 is usual. */
+	readonly slowdown: number;
 }
--- a/src/claims/__tests__/unit/keyed-calls.test.ts
+++ b/src/claims/__tests__/unit/keyed-calls.test.ts
@@ -10,8 +10,8 @@
 	createUnknown,
 	createWholeBody,
 	type AttemptResult,
+	type Call,
 } from '../../../exchange/index.js';
-import type {Call} from '../../../ingress/index.js';
 import {
 	Expect,
 	StoreUnavailableError,
@@ -147,12 +147,14 @@
 				headers: [],
 				isIdempotent: false,
 				key: 'key',
+				origin: {requestId: 'r', caller: '', route: '', priority: 0},
 				fingerprint: 'f',
 			},
 			policy,
 			service,
 			index,
 			deadline: new Deadline(this.clock.now() + 1000),
+			objective: new Deadline(this.clock.now() + 1000),
 			body: createWholeBody(new Uint8Array()),
 			cancellation: new Cancellation(),
 		};
--- a/src/claims/key-homes.ts
+++ b/src/claims/key-homes.ts
@@ -7,8 +7,8 @@
 	createUnknown,
 	type Attempt,
 	type AttemptResult,
+	type Call,
 } from '../exchange/index.js';
-import type {Call} from '../ingress/index.js';
 import {OpenTarget, type LinkHub} from '../link/index.js';
 import {isPresent, MemberPhase, RumorKind, type Gossip, type Rumor} from '../membership/index.js';
 import {Expect, type TableService} from '../store/index.js';
@@ -65,9 +65,10 @@
 			return undefined;
 		}
 
-		const {head, deadline, body} = attempt;
+		const {head, deadline, objective, body} = attempt;
 		// The call goes on when the other node is lost, as its caller will send it again.
-		return {head, policy, service, index, deadline, body, cancellation: new Cancellation()};
+		const cancellation = new Cancellation();
+		return {head, policy, service, index, deadline, objective, body, cancellation};
 	}
 
 	/**
@@ -136,12 +137,13 @@
 	}
 
 	private async runAt(id: string, call: Call): Promise<AttemptResult> {
-		const {head, deadline, body, policy, cancellation} = call;
+		const {head, deadline, objective, body, policy, cancellation} = call;
 		const result = await this.parts.hub.runnerTo(id, OpenTarget.KeyHome).run({
 			id: {instance: this.parts.self.instance, sequence: 0},
 			head,
 			share: policy.share,
 			deadline: new Deadline(deadline.at),
+			objective,
 			isBounceable: false,
 			body,
 			cancellation,
--- a/src/claims/keyed-calls.ts
+++ b/src/claims/keyed-calls.ts
@@ -15,8 +15,9 @@
 	createWholeBody,
 	type Attempt,
 	type AttemptResult,
+	type Call,
+	type CallEnd,
 } from '../exchange/index.js';
-import type {Call, CallEnd} from '../ingress/index.js';
 import type {ClaimWriter, KeyHome} from './claim-writer.js';
 import {createIssuedKey, parseIssuedKey} from './issued-key.js';
 
--- /dev/null
+++ b/src/control/configuration-feed.ts
@@ -0,0 +1,206 @@
+import {second, type Clock, type Millis} from '../clock/index.js';
+import {
+	hashContent,
+	serializeDeclaration,
+	type Declaration,
+	type RevisionKeeper,
+	type RevisionNews,
+} from '../declaration/index.js';
+import type {LinkHub} from '../link/index.js';
+import type {Gossip} from '../membership/index.js';
+import type {Random} from '../random/index.js';
+import {
+	HistoryLostError,
+	StoreUnavailableError,
+	type RowChange,
+	type RowFeed,
+} from '../store/index.js';
+import {logEvents, type Logger} from '../telemetry/index.js';
+import {pause} from '../util/index.js';
+import {ContentFetcher} from './content-fetcher.js';
+
+/** A configuration as operators wrote it. */
+export interface WrittenConfiguration {
+	readonly revision: number;
+	readonly declaration: Declaration;
+}
+
+/** Where operators write configurations. */
+export interface ConfigurationSource {
+	readonly table: string;
+	readonly key: string;
+	/**
+	 * @param text - value of the row.
+	 * @returns the configuration.
+	 * @throws Error that says what is wrong with it.
+	 */
+	parse(text: string): WrittenConfiguration;
+}
+
+/** What a feed is made of. */
+export interface ConfigurationFeedParts {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly logger: Logger;
+	readonly keeper: RevisionKeeper;
+	readonly gossip: Gossip;
+	readonly hub: LinkHub;
+	readonly store: RowFeed;
+	readonly source: ConfigurationSource;
+	/** @returns whether this node follows the store itself. */
+	isReader(): boolean;
+}
+
+/** Longest wait for a change; a connection that went silent is found out a second later. */
+const feedWait: Millis = 6 * second;
+/** Bounds of the pause after a failure, so that a store that is back is found soon. */
+const firstRetry: Millis = 100;
+const longestRetry: Millis = 800;
+/** How often a node that leaves the reading to others looks whether it has become a reader. */
+const readerCheckPeriod: Millis = second;
+/** How often content that peers told of is looked for. */
+const fetchPeriod: Millis = 150;
+const pushFanOut = 4;
+
+/**
+ * Follows the configuration that operators write to the store. What the store has acknowledged is
+ * accepted; the node takes it into force as soon as it reads it, or hears of it from a peer.
+ */
+export class ConfigurationFeed {
+	private readonly fetcher: ContentFetcher;
+	private position: number | undefined;
+	private retry = firstRetry;
+	private lastTeller: string | undefined;
+	private isReachable = true;
+	private isStopped = false;
+
+	constructor(private readonly parts: ConfigurationFeedParts) {
+		this.fetcher = new ContentFetcher({
+			...parts,
+			fromStore: async () => undefined,
+			held: () => undefined,
+		});
+	}
+
+	/** Whether the store answered last time. */
+	get isStoreUp(): boolean {
+		return this.isReachable;
+	}
+
+	/** Starts following. */
+	start(): void {
+		void this.follow();
+		this.parts.clock.repeat(fetchPeriod, () => {
+			void this.fetcher.fetchMissing(this.lastTeller);
+		});
+	}
+
+	/** Stops following. */
+	stop(): void {
+		this.isStopped = true;
+	}
+
+	/**
+	 * Hears what a peer knows.
+	 * @param news - its newest revisions.
+	 * @param from - id of the peer.
+	 */
+	hear(news: RevisionNews, from: string): void {
+		if (this.parts.keeper.hear(news)) {
+			this.lastTeller = from;
+			this.parts.gossip.pushNews(pushFanOut);
+			void this.fetcher.fetchMissing(from);
+		}
+	}
+
+	private async follow(): Promise<void> {
+		const {clock, keeper} = this.parts;
+		while (!this.isStopped) {
+			const isNeeded = this.parts.isReader() || keeper.inForce === undefined;
+			// Each page starts where the last one ended.
+			// eslint-disable-next-line no-await-in-loop
+			const delay = isNeeded ? await this.readPage() : readerCheckPeriod;
+			if (delay > 0) {
+				await pause(clock, delay); // eslint-disable-line no-await-in-loop
+			}
+		}
+	}
+
+	private async readPage(): Promise<Millis> {
+		const {store, source} = this.parts;
+		try {
+			const page =
+				this.position === undefined
+					? await store.snapshot(source.table)
+					: await store.changes(source.table, this.position, feedWait);
+			this.position = page.position;
+			this.noteReachable();
+			for (const change of page.changes) {
+				this.take(change);
+			}
+
+			return 0;
+		} catch (err) {
+			return this.noteFailure(err);
+		}
+	}
+
+	private noteReachable(): void {
+		this.retry = firstRetry;
+		if (!this.isReachable) {
+			this.isReachable = true;
+			this.parts.logger.log(logEvents.feedRegained, {position: this.position});
+		}
+	}
+
+	private noteFailure(err: unknown): Millis {
+		const {logger, random, keeper} = this.parts;
+		if (err instanceof HistoryLostError) {
+			logger.log(logEvents.feedHistoryLost, {position: this.position});
+			this.position = undefined;
+			return 0;
+		}
+
+		if (!(err instanceof StoreUnavailableError)) {
+			logger.log(logEvents.unexpectedError, {error: String(err)});
+		}
+
+		if (this.isReachable) {
+			this.isReachable = false;
+			const revision = keeper.inForce?.revision;
+			logger.log(logEvents.feedLost, {error: String(err), position: this.position, revision});
+		}
+
+		const delay = this.retry * (0.5 + random.next());
+		this.retry = Math.min(longestRetry, this.retry * 2);
+		return delay;
+	}
+
+	private take({key, value}: RowChange): void {
+		const {source, keeper, gossip, logger} = this.parts;
+		if (key !== source.key || value === undefined) {
+			return;
+		}
+
+		let written: WrittenConfiguration;
+		try {
+			written = source.parse(value);
+		} catch (err) {
+			logger.log(logEvents.revisionRejected, {error: String(err)});
+			return;
+		}
+
+		const content = serializeDeclaration(written.declaration);
+		const hash = hashContent(content);
+		const {revision} = written;
+		const news = {accepted: revision, acceptedHash: hash, staged: 0, stagedHash: ''};
+		if (revision <= keeper.heard.accepted && keeper.heldRevision >= keeper.heard.accepted) {
+			return;
+		}
+
+		this.hear(news, gossip.account.id);
+		if (keeper.missing().includes(hash)) {
+			keeper.addContent(hash, content);
+		}
+	}
+}
--- a/src/control/revision-agent.ts
+++ b/src/control/revision-agent.ts
@@ -2,10 +2,11 @@
 import type {RevisionKeeper, RevisionNews} from '../declaration/index.js';
 import type {LinkHub} from '../link/index.js';
 import {isPresent, type Gossip, type Held, type Member} from '../membership/index.js';
-import {sample, type Random} from '../random/index.js';
+import type {Random} from '../random/index.js';
 import {StoreUnavailableError} from '../store/index.js';
 import {logEvents, type Logger} from '../telemetry/index.js';
 import {pause, rendezvous} from '../util/index.js';
+import {ContentFetcher} from './content-fetcher.js';
 import {HeadWrite, type DeclarationStore, type HeadRow} from './declaration-store.js';
 import {zoneName} from './store-keys.js';
 import {ZoneHoldings} from './zone-holdings.js';
@@ -36,7 +37,7 @@
  */
 export class RevisionAgent {
 	private readonly holdings = new ZoneHoldings();
-	private readonly fetching = new Set<string>();
+	private readonly fetcher: ContentFetcher;
 	private lastTeller: string | undefined;
 	private nextReport = 0;
 	private nextZone = 0;
@@ -45,7 +46,16 @@
 	private readonly tellers = new Set<string>();
 	private isStopped = false;
 
-	constructor(private readonly parts: RevisionAgentParts) {}
+	constructor(private readonly parts: RevisionAgentParts) {
+		this.fetcher = new ContentFetcher({
+			...parts,
+			fromStore: async (hash) => this.fetchFromStore(hash),
+			held: () => {
+				this.nextReport = 0;
+				this.reportHeld();
+			},
+		});
+	}
 
 	/** Whether the node can know that no higher revision was accepted before it started. */
 	get isInformed(): boolean {
@@ -225,60 +235,7 @@
 	}
 
 	private async fetchMissing(): Promise<void> {
-		const missing = this.parts.keeper.missing().filter((hash) => !this.fetching.has(hash));
-		await Promise.all(missing.map(async (hash) => this.fetch(hash)));
-	}
-
-	private async fetch(hash: string): Promise<void> {
-		this.fetching.add(hash);
-		try {
-			const content = (await this.fetchFromStore(hash)) ?? (await this.fetchFromPeers(hash));
-			if (content !== undefined) {
-				this.parts.keeper.addContent(hash, content);
-				this.parts.logger.log(logEvents.revisionHeld, {hash});
-				this.nextReport = 0;
-				this.reportHeld();
-			}
-		} catch (err) {
-			this.parts.logger.log(logEvents.revisionRejected, {hash, error: String(err)});
-		} finally {
-			this.fetching.delete(hash);
-		}
-	}
-
-	private async fetchFromPeers(hash: string): Promise<string | undefined> {
-		const {gossip, hub} = this.parts;
-		const self = gossip.account;
-		for (const id of this.fetchSources()) {
-			if (id === self.id) {
-				continue;
-			}
-
-			// One after the other, as the first that holds it is enough.
-			const session = await hub.connect(id); // eslint-disable-line no-await-in-loop
-			const content = await session?.fetch(hash); // eslint-disable-line no-await-in-loop
-			if (content !== undefined) {
-				return content;
-			}
-		}
-
-		return undefined;
-	}
-
-	private fetchSources(): string[] {
-		const {gossip, random} = this.parts;
-		const self = gossip.account;
-		const near: string[] = [];
-		const far: string[] = [];
-		for (const member of gossip.directory.all()) {
-			if (isPresent(member)) {
-				(member.region === self.region ? near : far).push(member.id);
-			}
-		}
-
-		const drawn = [...sample(near, fetchPeers, random), ...sample(far, 1, random)];
-		const first = this.lastTeller === undefined ? [] : [this.lastTeller];
-		return [...new Set([...first, ...drawn])];
+		await this.fetcher.fetchMissing(this.lastTeller);
 	}
 
 	private async fetchFromStore(hash: string): Promise<string | undefined> {
--- a/src/control/store-keys.ts
+++ b/src/control/store-keys.ts
@@ -46,3 +46,6 @@
 export function zoneName(region: string, zone: string): string {
 	return `${region}/${zone}`;
 }
+
+/** Start of the rows of the nodes. */
+export const memberPrefix = 'members/';
--- a/src/declaration/declaration-index.ts
+++ b/src/declaration/declaration-index.ts
@@ -1,9 +1,11 @@
-import type {CallPolicy, Declaration, LinkBudget, ServicePolicy} from './declaration.js';
+import type {CallPolicy, Declaration, LinkBudget, RoutePolicy, ServicePolicy} from './declaration.js';
+import {RouteTable} from './route-table.js';
 
 /** Looks up policies of one revision. A call keeps the index that it started with. */
 export class DeclarationIndex {
 	private readonly services = new Map<string, ServicePolicy>();
 	private readonly calls = new Map<string, Map<string, CallPolicy>>();
+	private readonly routes: RouteTable;
 
 	constructor(
 		readonly revision: number,
@@ -13,6 +15,7 @@
 			this.services.set(policy.service, policy);
 		}
 
+		this.routes = new RouteTable(declaration.routes ?? []);
 		for (const policy of declaration.calls) {
 			const customers = this.calls.get(policy.service) ?? new Map<string, CallPolicy>();
 			customers.set(policy.customer, policy);
@@ -37,6 +40,15 @@
 		return this.calls.get(service)?.get(customer);
 	}
 
+	/**
+	 * @param host - host of a request, without its port.
+	 * @param path - path of the request.
+	 * @returns the route that takes it; undefined when there is none.
+	 */
+	route(host: string, path: string): RoutePolicy | undefined {
+		return this.routes.find(host, path);
+	}
+
 	/**
 	 * @param a - one region.
 	 * @param b - another region.
--- a/src/declaration/declaration.ts
+++ b/src/declaration/declaration.ts
@@ -12,6 +12,10 @@
 	readonly probeBudget: number;
 	/** Whether calls may leave the region when their deadline demands it. */
 	readonly isOtherRegionAllowed: boolean;
+	/** Path of the health endpoint, where the declaration names it. */
+	readonly healthPath?: string;
+	/** Connections that a backend server takes at the most, where the declaration names them. */
+	readonly connections?: number;
 }
 
 /** What holds for the calls of one customer to one service. */
@@ -38,6 +42,39 @@
 	readonly keyRetention: Millis;
 }
 
+/** One of the services among which a route splits its requests. */
+export interface RouteTarget {
+	readonly service: string;
+	/** Share of the requests, relative to the weights of the other targets. */
+	readonly weight: number;
+}
+
+/** What holds for requests to one host below one path. */
+export interface RoutePolicy {
+	readonly name: string;
+	readonly host: string;
+	/** Start of the paths; begins and ends with a slash. */
+	readonly prefix: string;
+	readonly isIdempotent: boolean;
+	/** How long a caller is kept waiting at the most, in ms. */
+	readonly timeout: Millis;
+	/** How long an answer is in time, in ms. */
+	readonly objective: Millis;
+	/** Backend servers to which one request may be sent. */
+	readonly maxAttempts: number;
+	/** Rank among the requests of a service; 0 is the most urgent. */
+	readonly priority: number;
+	readonly targets: readonly RouteTarget[];
+}
+
+/** What a caller may send, and how long it may stay idle. */
+export interface CallerLimits {
+	readonly maxHeaderBytes: number;
+	readonly maxBodyBytes: number;
+	readonly headerTimeout: Millis;
+	readonly idleTimeout: Millis;
+}
+
 /** Bytes that may travel between two regions. */
 export interface LinkBudget {
 	readonly regions: readonly [string, string];
@@ -53,4 +90,7 @@
 	readonly services: readonly ServicePolicy[];
 	readonly calls: readonly CallPolicy[];
 	readonly links: readonly LinkBudget[];
+	/** Routes by host and path; none where callers name the service. */
+	readonly routes?: readonly RoutePolicy[];
+	readonly callerLimits?: CallerLimits;
 }
--- a/src/declaration/index.ts
+++ b/src/declaration/index.ts
@@ -1,4 +1,12 @@
-export type {CallPolicy, Declaration, LinkBudget, ServicePolicy} from './declaration.js';
+export type {
+	CallerLimits,
+	CallPolicy,
+	Declaration,
+	LinkBudget,
+	RoutePolicy,
+	RouteTarget,
+	ServicePolicy,
+} from './declaration.js';
 export {DeclarationIndex, isIdempotent} from './declaration-index.js';
 export {
 	accept,
@@ -9,6 +17,7 @@
 	type HeadRecord,
 	type RevisionRecord,
 } from './head-record.js';
+export {RouteTable} from './route-table.js';
 export {renderDeclaration, type DeclarationFiles} from './render.js';
 export {
 	DeclarationContentError,
--- a/src/exchange/attempt.ts
+++ b/src/exchange/attempt.ts
@@ -26,6 +26,8 @@
 	/** Weight of the customer when calls compete for slots. */
 	readonly share: number;
 	readonly deadline: Deadline;
+	/** When the answer is late, though its caller still waits. */
+	readonly objective: Deadline;
 	/** Whether the call would rather be refused than wait, as it can try elsewhere. */
 	readonly isBounceable: boolean;
 	readonly body: Body;
--- a/src/exchange/body.ts
+++ b/src/exchange/body.ts
@@ -2,7 +2,7 @@
 import type {HeaderList} from '../call/index.js';
 
 /** Bodies up to this many bytes travel in one piece with their head. */
-export const inlineBodyBytes = 16_384;
+export const inlineBodyBytes = 65_536;
 
 /** A body that is here as a whole, or a stream that is read once. */
 export interface Body {
--- a/src/ingress/call.ts
+++ b/src/exchange/call.ts
@@ -1,6 +1,9 @@
 import type {Deadline, RequestHead} from '../call/index.js';
+import type {Millis} from '../clock/index.js';
 import type {CallPolicy, DeclarationIndex, ServicePolicy} from '../declaration/index.js';
-import type {AttemptResult, Body, Cancellation} from '../exchange/index.js';
+import type {AttemptResult} from './attempt.js';
+import type {Body} from './body.js';
+import type {Cancellation} from './cancellation.js';
 
 /** A caller's request with what is declared for it. One call sees one revision throughout. */
 export interface Call {
@@ -9,6 +12,8 @@
 	readonly service: ServicePolicy;
 	readonly index: DeclarationIndex;
 	readonly deadline: Deadline;
+	/** When the answer is late, though its caller still waits. */
+	readonly objective: Deadline;
 	readonly body: Body;
 	readonly cancellation: Cancellation;
 }
@@ -20,4 +25,6 @@
 	readonly attempts: number;
 	/** The executor of the last attempt. */
 	readonly executor: string | undefined;
+	/** When there will be room for a call that was refused, in ms from now; undefined where unknown. */
+	readonly roomIn?: Millis | undefined;
 }
--- a/src/exchange/index.ts
+++ b/src/exchange/index.ts
@@ -10,4 +10,5 @@
 	type UnknownAttempt,
 } from './attempt.js';
 export {createStreamBody, createWholeBody, inlineBodyBytes, type Body} from './body.js';
+export type {Call, CallEnd} from './call.js';
 export {Cancellation} from './cancellation.js';
--- /dev/null
+++ b/src/executor/backend-call.ts
@@ -0,0 +1,232 @@
+import {PassThrough} from 'node:stream';
+import type {Dispatcher} from 'undici';
+import {RefusalReason, type HeaderList} from '../call/index.js';
+import {
+	AttemptEnd,
+	createRefused,
+	createStreamBody,
+	createUnknown,
+	createWholeBody,
+	inlineBodyBytes,
+	type AttemptResult,
+} from '../exchange/index.js';
+import {AnswerVerdict, type BackendLoad, type BackendProtocol} from './backend-protocol.js';
+import {stripHeaders} from './headers.js';
+
+/** What the executor says just before the first byte of a request is written. */
+export interface WriteGate {
+	/** @returns why the request must not be written; undefined to go on. */
+	check(): RefusalReason | undefined;
+}
+
+/** How a call at the backend server went. */
+export interface BackendCallEnd {
+	readonly isFailure: boolean;
+	/** Whether the backend server broke off a call that was in flight. */
+	readonly isBroken: boolean;
+}
+
+/** Hears how a call at the backend server goes. */
+export interface BackendCallListener {
+	/** An answer told the load of the backend server. */
+	loadRead(load: BackendLoad): void;
+	/** The backend server has answered in full, or will not answer. */
+	ended(end: BackendCallEnd): void;
+}
+
+const serverErrorStatus = 500;
+
+/** The request was taken back by this node. */
+export class AbortedError extends Error {
+	override name = 'AbortedError';
+}
+
+/** The backend server wrote something else than the answer to the request. */
+class ForeignAnswerError extends Error {
+	override name = 'ForeignAnswerError';
+}
+
+const notRunReasons: Readonly<Partial<Record<AnswerVerdict, RefusalReason>>> = {
+	[AnswerVerdict.NotRun]: RefusalReason.BackendRefused,
+	[AnswerVerdict.OtherInstance]: RefusalReason.BackendReplaced,
+};
+
+/** One request on its way to the backend server. */
+export class BackendCall implements Dispatcher.DispatchHandler {
+	private controller: Dispatcher.DispatchController | undefined;
+	private gateReason: RefusalReason | undefined;
+	private isWritten = false;
+	private isEnded = false;
+	private isCanceled = false;
+	private status = 0;
+	private verdict = AnswerVerdict.Answer;
+	private headers: HeaderList = [];
+	private readonly trailers: HeaderList = [];
+	private chunks: Uint8Array[] = [];
+	private heldBytes = 0;
+	private stream: PassThrough | undefined;
+
+	constructor(
+		private readonly requestId: string,
+		private readonly protocol: BackendProtocol,
+		private readonly gate: WriteGate,
+		private readonly listener: BackendCallListener,
+		private readonly resolve: (result: AttemptResult) => void,
+	) {}
+
+	// The library calls this in the loop turn in which it writes the first byte.
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		this.controller = controller;
+		this.gateReason = this.isCanceled ? RefusalReason.DeadlinePassed : this.gate.check();
+		if (this.gateReason === undefined) {
+			this.isWritten = true;
+		} else {
+			controller.abort(new AbortedError('refused before the first byte'));
+		}
+	}
+
+	onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+		if (status < 200) {
+			return;
+		}
+
+		this.status = status;
+		this.headers = toHeaderList(controller.rawHeaders);
+		this.verdict = this.protocol.judge({status, headers: this.headers}, this.requestId);
+		if (this.verdict === AnswerVerdict.Foreign) {
+			controller.abort(new ForeignAnswerError('the answer belongs to no request'));
+			return;
+		}
+
+		const load = this.protocol.readLoad(this.headers);
+		if (load) {
+			this.listener.loadRead(load);
+		}
+	}
+
+	// An answer is held until it is whole, or too large for that: one that breaks off can be replaced.
+	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
+		if (!this.stream) {
+			this.chunks.push(chunk);
+			this.heldBytes += chunk.length;
+			if (this.heldBytes <= inlineBodyBytes) {
+				return;
+			}
+
+			this.startStream(controller);
+			return;
+		}
+
+		if (!this.stream.write(chunk)) {
+			controller.pause();
+		}
+	}
+
+	onResponseEnd(controller: Dispatcher.DispatchController): void {
+		this.trailers.push(...toHeaderList(controller.rawTrailers));
+		this.end({isFailure: this.status >= serverErrorStatus, isBroken: false});
+		if (this.stream) {
+			this.stream.end();
+		} else {
+			this.resolve(this.wholeAnswer());
+		}
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController | undefined, err: Error): void {
+		if (!this.isWritten) {
+			const reason = this.gateReason ?? RefusalReason.BackendUnreachable;
+			this.end({isFailure: this.gateReason === undefined, isBroken: false});
+			this.resolve(createRefused(reason));
+			return;
+		}
+
+		const isAborted = err instanceof AbortedError;
+		const isForeign = err instanceof ForeignAnswerError;
+		this.end({isFailure: !isAborted, isBroken: !isAborted && !isForeign});
+		this.stream?.destroy(err);
+		this.resolve(createUnknown(isAborted ? RefusalReason.Canceled : RefusalReason.BackendLost));
+	}
+
+	/** Tells the backend server that nobody waits for the answer. */
+	cancel(): void {
+		this.isCanceled = true;
+		this.controller?.abort(new AbortedError('canceled'));
+	}
+
+	private startStream(controller: Dispatcher.DispatchController): void {
+		const stream = new PassThrough({highWaterMark: inlineBodyBytes});
+		this.stream = stream;
+		stream.on('drain', () => {
+			controller.resume();
+		});
+		stream.on('error', () => undefined);
+		stream.once('close', () => {
+			if (!stream.readableEnded) {
+				this.cancel();
+			}
+		});
+		for (const chunk of this.chunks.splice(0)) {
+			if (!stream.write(chunk)) {
+				controller.pause();
+			}
+		}
+
+		this.resolve({
+			end: AttemptEnd.Answered,
+			status: this.status,
+			headers: stripHeaders(this.headers),
+			body: createStreamBody(stream, this.trailers),
+			load: undefined,
+		});
+	}
+
+	private wholeAnswer(): AttemptResult {
+		const notRun = notRunReasons[this.verdict];
+		if (notRun !== undefined) {
+			return createRefused(notRun);
+		}
+
+		const bytes = this.chunks.length === 1 ? this.chunks[0]! : concat(this.chunks);
+		return {
+			end: AttemptEnd.Answered,
+			status: this.status,
+			headers: stripHeaders(this.headers),
+			body: createWholeBody(bytes, this.trailers),
+			load: undefined,
+		};
+	}
+
+	private end(end: BackendCallEnd): void {
+		if (!this.isEnded) {
+			this.isEnded = true;
+			this.listener.ended(end);
+		}
+	}
+}
+
+function concat(chunks: readonly Uint8Array[]): Uint8Array {
+	let length = 0;
+	for (const chunk of chunks) {
+		length += chunk.length;
+	}
+
+	const bytes = new Uint8Array(length);
+	let at = 0;
+	for (const chunk of chunks) {
+		bytes.set(chunk, at);
+		at += chunk.length;
+	}
+
+	return bytes;
+}
+
+function toHeaderList(raw: Dispatcher.DispatchController['rawHeaders']): HeaderList {
+	const headers: HeaderList = [];
+	if (Array.isArray(raw)) {
+		for (const item of raw) {
+			headers.push(typeof item === 'string' ? item : item.toString('latin1'));
+		}
+	}
+
+	return headers;
+}
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -1,4 +1,4 @@
-import {Admission, type Ticket} from '../backend/index.js';
+import {Admission, BackendSpeed, type Ticket} from '../backend/index.js';
 import {
 	AttemptLedger,
 	RefusalReason,
@@ -6,7 +6,7 @@
 	type AttemptState,
 	type LoadReport,
 } from '../call/index.js';
-import type {Clock} from '../clock/index.js';
+import type {Clock, Millis} from '../clock/index.js';
 import {
 	AttemptEnd,
 	createRefused,
@@ -14,10 +14,11 @@
 	type AttemptResult,
 	type AttemptRunner,
 } from '../exchange/index.js';
-import type {Endpoint} from '../settings/index.js';
-import type {Metrics} from '../telemetry/index.js';
+import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 import {withResolvers} from '../util/index.js';
-import {BackendClient} from './backend-client.js';
+import type {BackendCallEnd} from './backend-call.js';
+import {BackendClient, type BackendTarget} from './backend-client.js';
+import type {BackendProtocol} from './backend-protocol.js';
 
 /** Keeps back requests that crash backend servers. */
 export interface CrashWatch {
@@ -39,24 +40,33 @@
 export interface ExecutorParts {
 	readonly clock: Clock;
 	readonly metrics: Metrics;
+	readonly logger: Logger;
+	readonly protocol: BackendProtocol;
 	readonly crashWatch: CrashWatch;
-	/** The backend server takes no connections. */
+	/** The backend server takes no connections, or another one listens at its address. */
 	noteUnreachable(): void;
+	/** The load has changed so much that others should know. */
+	noteLoadChanged(): void;
 }
 
-type Target = {client: BackendClient; service: string};
+type Target = {client: BackendClient; service: string; instance: string};
+type Running = {ticket: Ticket; startedAt: Millis; waited: Millis; slowdown: number};
 
-const sweepPeriod = 10;
-const expiryPeriod = 1000;
+const sweepPeriod: Millis = 10;
+const expiryPeriod: Millis = 1000;
+/** Factor between two speeds from which on a change is worth a message to the callers' nodes. */
+const notableChange = 1.5;
 
 /** Runs attempts on the node's own backend server, and is the only one that can say "not run". */
 export class Executor implements AttemptRunner {
 	private readonly ledger = new AttemptLedger();
 	private readonly admission: Admission;
-	private readonly inFlight = new Map<Attempt, Ticket>();
+	private readonly speed = new BackendSpeed();
+	private readonly inFlight = new Map<Attempt, Running>();
 	private target: Target | undefined;
 	private isDraining = false;
 	private isSweeping = false;
+	private toldLevel = 0;
 
 	constructor(private readonly parts: ExecutorParts) {
 		this.admission = new Admission(parts.clock, {slots: 1, queue: 0});
@@ -77,12 +87,13 @@
 
 	/**
 	 * A backend server has announced itself.
-	 * @param endpoint - where it listens.
+	 * @param backend - where it listens and who it is.
 	 * @param service - the service that it belongs to.
-	 * @param connections - connections that it takes at the most.
 	 */
-	attach(endpoint: Endpoint, service: string, connections: number): void {
-		this.target = {client: new BackendClient(endpoint, connections), service};
+	attach(backend: BackendTarget, service: string): void {
+		const {protocol, clock} = this.parts;
+		const client = new BackendClient(backend, protocol, clock);
+		this.target = {client, service, instance: backend.instance};
 		this.isDraining = false;
 	}
 
@@ -109,7 +120,7 @@
 
 	/** @returns the load of the backend server now. */
 	report(): LoadReport {
-		return this.admission.report();
+		return {...this.admission.report(), slowdown: this.speed.slowdown(this.parts.clock.now())};
 	}
 
 	/**
@@ -123,12 +134,14 @@
 	async run(attempt: Attempt): Promise<AttemptResult> {
 		const result = await this.admit(attempt);
 		if (result.end === AttemptEnd.Refused) {
-			if (result.reason === RefusalReason.BackendUnreachable) {
+			const {reason} = result;
+			if (reason === RefusalReason.BackendUnreachable || reason === RefusalReason.BackendReplaced) {
 				this.parts.noteUnreachable();
 			}
 
 			this.ledger.markRefused(attempt.id);
-			this.parts.metrics.attemptRefusals.inc({reason: result.reason});
+			this.parts.metrics.attemptRefusals.inc({reason});
+			this.logRefused(attempt, reason);
 			return {...result, load: this.report()};
 		}
 
@@ -146,13 +159,17 @@
 		}
 
 		const {promise, resolve} = withResolvers<AttemptResult>();
+		const askedAt = this.parts.clock.now();
 		const ticket: Ticket = {
+			priority: attempt.head.origin.priority,
+			objective: attempt.objective,
 			customer: attempt.head.customer,
 			share: attempt.share,
 			deadline: attempt.deadline,
 			isBounceable: attempt.isBounceable,
 			start: () => {
-				void this.send(attempt, ticket).then(resolve);
+				const waited = this.parts.clock.now() - askedAt;
+				void this.send(attempt, ticket, waited).then(resolve);
 			},
 			refuse(refusal) {
 				resolve(createRefused(refusal));
@@ -195,20 +212,26 @@
 		return isHeld ? RefusalReason.Held : undefined;
 	}
 
-	private async send(attempt: Attempt, ticket: Ticket): Promise<AttemptResult> {
+	private async send(attempt: Attempt, ticket: Ticket, waited: Millis): Promise<AttemptResult> {
 		const {target} = this;
 		if (!target) {
 			this.admission.release(ticket, false);
 			return createRefused(RefusalReason.NoBackend);
 		}
 
-		this.inFlight.set(attempt, ticket);
+		const now = this.parts.clock.now();
+		const slowdown = this.speed.slowdown(now);
+		this.inFlight.set(attempt, {ticket, startedAt: now, waited, slowdown});
+		this.noteLevel();
 		const result = await target.client.send(
 			attempt,
 			{check: () => this.checkBeforeWrite(attempt)},
 			{
-				ended: (isFailure, isBroken) => {
-					this.end(attempt, isFailure, isBroken);
+				loadRead: (load) => {
+					this.readSpeed(load.slowdown);
+				},
+				ended: (end) => {
+					this.end(attempt, end);
 				},
 			},
 		);
@@ -221,6 +244,10 @@
 			return RefusalReason.DeadlinePassed;
 		}
 
+		if (this.isDraining) {
+			return RefusalReason.Draining;
+		}
+
 		if (this.parts.crashWatch.isHeld(attempt.head.fingerprint)) {
 			return RefusalReason.Held;
 		}
@@ -228,12 +255,38 @@
 		return this.ledger.markRan(attempt.id) ? undefined : RefusalReason.Fenced;
 	}
 
-	private end(attempt: Attempt, isFailure: boolean, isBroken: boolean): void {
-		const ticket = this.inFlight.get(attempt);
-		if (!ticket) {
+	// Others are told when the backend server becomes crowded, full or free again.
+	private noteLevel(): void {
+		const level = loadLevel(this.admission.report());
+		if (level !== this.toldLevel) {
+			this.toldLevel = level;
+			this.parts.noteLoadChanged();
+		}
+	}
+
+	private logRefused(attempt: Attempt, reason: RefusalReason): void {
+		const {inFlight, queued, slots, slowdown} = this.report();
+		this.parts.logger.log(logEvents.attemptRefused, {
+			request: attempt.head.origin.requestId,
+			reason,
+			running: inFlight,
+			queued,
+			slots,
+			slowdown: Math.round(slowdown * 100) / 100,
+			speedAge: Math.round(this.speed.age(this.parts.clock.now())),
+			timeLeft: Math.round(attempt.deadline.timeLeft(this.parts.clock.now())),
+		});
+	}
+
+	private end(attempt: Attempt, {isFailure, isBroken}: BackendCallEnd): void {
+		const running = this.inFlight.get(attempt);
+		if (!running) {
 			return;
 		}
 
+		const {ticket} = running;
+		this.logEnded(attempt, running, isFailure, isBroken);
+
 		if (isBroken) {
 			const fingerprints = [...this.inFlight.keys()].map((other) => other.head.fingerprint);
 			this.parts.crashWatch.noteBroken(fingerprints);
@@ -243,5 +296,50 @@
 
 		this.inFlight.delete(attempt);
 		this.admission.release(ticket, isFailure);
+		this.noteLevel();
 	}
+
+	/**
+	 * The backend server told how fast it works.
+	 * @param slowdown - how many times longer than usual work takes.
+	 */
+	readSpeed(slowdown: number): void {
+		const now = this.parts.clock.now();
+		const before = this.speed.slowdown(now);
+		this.speed.read(slowdown, now);
+		if (Math.max(before / slowdown, slowdown / before) > notableChange) {
+			this.parts.noteLoadChanged();
+		}
+	}
+
+	/** Age of what is known of the backend server's speed, in ms. */
+	get speedAge(): Millis {
+		return this.speed.age(this.parts.clock.now());
+	}
+
+	private logEnded(attempt: Attempt, running: Running, isFailure: boolean, isBroken: boolean): void {
+		const now = this.parts.clock.now();
+		this.parts.logger.log(logEvents.attemptEnded, {
+			request: attempt.head.origin.requestId,
+			route: attempt.head.origin.route,
+			backend: this.target?.instance,
+			isFailure,
+			isBroken,
+			isCanceled: attempt.cancellation.isCanceled,
+			waited: Math.round(running.waited),
+			ran: Math.round(now - running.startedAt),
+			slowdownAtStart: Math.round(running.slowdown * 100) / 100,
+			slowdownAtEnd: Math.round(this.speed.slowdown(now) * 100) / 100,
+			running: this.inFlight.size,
+			timeLeft: Math.round(attempt.deadline.timeLeft(now)),
+		});
+	}
+}
+
+/** Shares of the slots at which a backend server counts as half full, crowded, full, overfull. */
+const levels = [0.5, 0.8, 1, 1.5];
+
+function loadLevel(load: Pick<LoadReport, 'inFlight' | 'queued' | 'slots'>): number {
+	const share = (load.inFlight + load.queued) / Math.max(1, load.slots);
+	return levels.filter((level) => share >= level).length;
 }
--- a/src/executor/headers.ts
+++ b/src/executor/headers.ts
@@ -46,3 +46,27 @@
 
 	return kept;
 }
+
+/**
+ * @param headers - a header list.
+ * @param name - name of a header, in small letters.
+ * @returns its first value; undefined where there is none.
+ */
+export function headerValue(headers: HeaderList, name: string): string | undefined {
+	for (let i = 0; i < headers.length; i += 2) {
+		if (headers[i]!.toLowerCase() === name) {
+			return headers[i + 1];
+		}
+	}
+
+	return undefined;
+}
+
+/**
+ * @param headers - a header list.
+ * @param name - name of a header, in small letters.
+ * @returns whether it is there.
+ */
+export function hasHeader(headers: HeaderList, name: string): boolean {
+	return headerValue(headers, name) !== undefined;
+}
--- a/src/ingress/__tests__/unit/call-runner.test.ts
+++ b/src/ingress/__tests__/unit/call-runner.test.ts
@@ -10,14 +10,15 @@
 	createWholeBody,
 	type Attempt,
 	type AttemptResult,
+	type Call,
 } from '../../../exchange/index.js';
 import {createSelf, defaultGossipSettings, Gossip, MemberPhase} from '../../../membership/index.js';
 import {createRandom} from '../../../random/index.js';
 import {ExpectedWaitPolicy} from '../../../routing/index.js';
-import {Metrics} from '../../../telemetry/index.js';
-import {CallRunner, type Call} from '../../index.js';
+import {Metrics, silentLogger} from '../../../telemetry/index.js';
+import {CallRunner, NearestFirstPlacement} from '../../index.js';
 
-const load: LoadReport = {inFlight: 0, queued: 0, slots: 10, serviceTime: 10, failureShare: 0};
+const load: LoadReport = {inFlight: 0, queued: 0, slots: 10, serviceTime: 10, failureShare: 0, slowdown: 1};
 const service: ServicePolicy = {
 	service: 's',
 	kind: 'k',
@@ -76,8 +77,14 @@
 	return new CallRunner({
 		clock,
 		metrics: new Metrics(),
-		gossip,
-		routing: new ExpectedWaitPolicy({clock, random, self: () => gossip.account}),
+		logger: silentLogger,
+		placement: new NearestFirstPlacement({
+			clock,
+			gossip,
+			routing: new ExpectedWaitPolicy({clock, random, self: () => gossip.account}),
+			keeper: {inForce: index},
+		}),
+		budgetBursts: () => ({retries: 10, hedges: 10}),
 		instance: 'i',
 		runnerTo: (executor) => ({run: async (attempt) => answer(attempt, executor)}),
 	});
@@ -93,12 +100,14 @@
 			headers: [],
 			isIdempotent,
 			key: undefined,
+			origin: {requestId: 'r', caller: '', route: '', priority: 0},
 			fingerprint: 'f',
 		},
 		policy,
 		service,
 		index,
 		deadline: new Deadline(2000),
+		objective: new Deadline(2000),
 		body: createWholeBody(new Uint8Array()),
 		cancellation: new Cancellation(),
 	};
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -1,28 +1,33 @@
-import {RatioBudget, RegionBuckets, type TokenBucket} from '../budget/index.js';
+import {RatioBudget} from '../budget/index.js';
 import {RefusalReason, refusals, type AttemptId} from '../call/index.js';
 import {second, type Clock, type Millis} from '../clock/index.js';
 import {
 	AttemptEnd,
 	Cancellation,
 	createRefused,
+	type AnsweredAttempt,
 	type Attempt,
 	type AttemptResult,
 	type AttemptRunner,
+	type Call,
+	type CallEnd,
 } from '../exchange/index.js';
-import {Distance, distanceBetween, type Gossip, type Member} from '../membership/index.js';
-import {findCandidates, isOtherRegionNeeded, type ExpectedWaitPolicy} from '../routing/index.js';
-import {RetryReason, type Metrics} from '../telemetry/index.js';
-import type {Call, CallEnd} from './call.js';
-import {HedgeTimer} from './hedge-timer.js';
+import type {Member} from '../membership/index.js';
+import type {Placement, PlacementQuery} from '../routing/index.js';
+import {logEvents, RetryReason, type Logger, type Metrics} from '../telemetry/index.js';
+import {CallBudgets, type BudgetBursts} from './call-budgets.js';
+import {HedgeRace, type SentAttempt} from './hedge.js';
 
 /** What a call runner is made of. */
 export interface CallRunnerParts {
 	readonly clock: Clock;
 	readonly metrics: Metrics;
-	readonly gossip: Gossip;
-	readonly routing: ExpectedWaitPolicy;
+	readonly logger: Logger;
+	readonly placement: Placement;
 	/** Incarnation of this node. */
 	readonly instance: string;
+	/** @returns what this node may save up of the budgets for further attempts. */
+	budgetBursts(): BudgetBursts;
 	/**
 	 * @param id - an executor.
 	 * @returns who takes attempts to it.
@@ -31,37 +36,52 @@
 }
 
 type Progress = {
+	/** Attempts that were sent to an executor. */
 	attempts: number;
+	/** Attempts that have reached a backend server, as far as is known. */
+	arrivals: number;
 	broken: number;
 	bounces: number;
 	executor: string | undefined;
+	/** How an earlier attempt ended that may have run. */
+	maybeRun: AttemptResult | undefined;
+	/** The backend server's own failure; told when no further attempt ends better. */
+	failure: AnsweredAttempt | undefined;
 	readonly tried: Set<string>;
 };
 
+/** An idempotent call whose attempt is out, and that a second attempt may join. */
+type Watched = {call: Call; progress: Progress; executor: Member; race: HedgeRace};
+
 /** Refusals that say nothing of the load, and so cost no retry budget; the tried set bounds them. */
 const freeRetries: ReadonlySet<RefusalReason> = new Set([
 	RefusalReason.Draining,
 	RefusalReason.NoBackend,
 	RefusalReason.LinkUnreachable,
+	RefusalReason.BackendReplaced,
+]);
+/** Refusals by the backend server itself: the request has arrived there. */
+const arrivedRefusals: ReadonlySet<RefusalReason> = new Set([
+	RefusalReason.BackendRefused,
+	RefusalReason.BackendReplaced,
 ]);
 const maxBounces = 2;
 /** A request that was in flight at two crashes is not given to a third backend server. */
 const maxBroken = 2;
 const bounceShare = 0.5;
+/** How long an executor that could not be reached gets no call that another one can take. */
 const avoidTime: Millis = second;
-const callOverheadBytes = 600;
+const serverErrorStatus = 500;
 
 /** Chooses executors for a call until it is answered or must be refused. */
 export class CallRunner {
-	private readonly retries = new RatioBudget();
-	private readonly hedges = new RatioBudget();
+	private readonly budgets: CallBudgets;
 	private readonly bounces = new RatioBudget();
-	private readonly linkBudgets: RegionBuckets;
-	private readonly hedgeTimer = new HedgeTimer();
+	private readonly watched = new Map<string, Set<Watched>>();
 	private sequence = 0;
 
 	constructor(private readonly parts: CallRunnerParts) {
-		this.linkBudgets = new RegionBuckets(parts.clock);
+		this.budgets = new CallBudgets(() => parts.budgetBursts());
 	}
 
 	/**
@@ -69,33 +89,105 @@
 	 * @returns how it ended.
 	 */
 	async run(call: Call): Promise<CallEnd> {
-		this.retries.earn(call.policy.retryShare);
-		this.hedges.earn(call.policy.hedgeShare);
+		this.budgets.earn(call.policy);
 		this.bounces.earn(bounceShare);
 		const progress: Progress = {
 			attempts: 0,
+			arrivals: 0,
 			broken: 0,
 			bounces: 0,
 			executor: undefined,
+			maybeRun: undefined,
+			failure: undefined,
 			tried: new Set(),
 		};
+		const undoDeadline = this.parts.clock.after(
+			call.deadline.timeLeft(this.parts.clock.now()),
+			() => {
+				call.cancellation.cancel();
+			},
+		);
 		let last: AttemptResult | undefined;
 		for (;;) {
 			const executor = this.choose(call, progress) ?? this.chooseToWait(call, progress);
 			if (!executor) {
-				last ??= createRefused(this.reasonForNone(call));
+				last ??= createRefused(this.parts.placement.reasonForNone(this.query(call, progress)));
 				break;
 			}
 
 			// Attempts follow each other: the next one depends on how the last one ended.
 			// eslint-disable-next-line no-await-in-loop
 			last = await this.attempt(call, executor, progress);
+			this.noteArrival(last, progress);
 			if (!this.mayTryAgain(call, last, progress)) {
 				break;
 			}
 		}
 
-		return {result: last, attempts: progress.attempts, executor: progress.executor};
+		undoDeadline();
+		return this.endOf(call, this.truth(last, progress), progress);
+	}
+
+	/**
+	 * An executor has become slow: calls that wait for it may get a second attempt.
+	 * @param id - the executor.
+	 */
+	reconsider(id: string): void {
+		for (const watched of this.watched.get(id) ?? []) {
+			this.tryHedge(watched);
+		}
+	}
+
+	private endOf(call: Call, result: AttemptResult, progress: Progress): CallEnd {
+		const {attempts, executor} = progress;
+		const isRefused = result.end === AttemptEnd.Refused;
+		const roomIn = isRefused
+			? this.parts.placement.roomIn({...this.query(call, progress), excluded: new Set()})
+			: undefined;
+		return {result, attempts, executor, roomIn};
+	}
+
+	// "Not run" holds for the call only if it holds for each of its attempts.
+	private truth(last: AttemptResult, progress: Progress): AttemptResult {
+		const {maybeRun, failure} = progress;
+		if (last.end === AttemptEnd.Answered || !maybeRun) {
+			return last;
+		}
+
+		if (failure) {
+			return failure;
+		}
+
+		return last.end === AttemptEnd.Refused ? maybeRun : last;
+	}
+
+	private noteArrival(result: AttemptResult, progress: Progress): void {
+		if (result.end !== AttemptEnd.Refused) {
+			progress.arrivals += 1;
+			progress.maybeRun = result;
+			progress.failure = isServerFailure(result) ? result : progress.failure;
+		} else if (arrivedRefusals.has(result.reason)) {
+			progress.arrivals += 1;
+		}
+	}
+
+	private query(call: Call, progress: Progress): PlacementQuery {
+		const now = this.parts.clock.now();
+		const {head, deadline, objective, body} = call;
+		return {
+			service: head.service,
+			kind: `${head.service} ${head.origin.route}`,
+			priority: head.origin.priority,
+			isIdempotent: head.isIdempotent,
+			timeLeft: deadline.timeLeft(now),
+			objectiveLeft: objective.timeLeft(now),
+			requestBytes: body.bytes?.length ?? 0,
+			excluded: progress.tried,
+		};
+	}
+
+	private choose(call: Call, progress: Progress): Member | undefined {
+		return this.parts.placement.choose(this.query(call, progress));
 	}
 
 	// All were busy: the call waits at one of them, as a bounce is no refusal.
@@ -110,71 +202,72 @@
 	}
 
 	private async attempt(call: Call, executor: Member, progress: Progress): Promise<AttemptResult> {
-		const isHedgeable = call.head.isIdempotent && call.body.bytes !== undefined;
-		const delay = isHedgeable ? this.hedgeTimer.delayFor(call.head.service) : undefined;
 		const first = this.send(call, executor, progress);
-		if (delay === undefined) {
+		const isHedgeable = call.head.isIdempotent && call.body.bytes !== undefined;
+		if (!isHedgeable) {
 			return first.result;
 		}
 
-		return this.hedge(call, first, delay, progress);
+		const race = new HedgeRace(first);
+		const watched: Watched = {call, progress, executor, race};
+		const undo = this.watch(watched);
+		const result = await race.result;
+		undo();
+		return result;
 	}
 
-	// Whichever attempt of an idempotent call answers first wins; the other is canceled.
-	private async hedge(
-		call: Call,
-		first: SentAttempt,
-		delay: Millis,
-		progress: Progress,
-	): Promise<AttemptResult> {
-		return new Promise((resolve) => {
-			let open = 1;
-			let second: SentAttempt | undefined;
-			const settle = (winner: SentAttempt, result: AttemptResult) => {
-				open -= 1;
-				const isLast = open === 0;
-				if (result.end === AttemptEnd.Answered || isLast) {
-					undo();
-					resolve(result);
-					const loser = winner === first ? second : first;
-					loser?.cancellation.cancel();
-				}
-			};
-
-			const undo = this.parts.clock.after(delay, () => {
-				const executor = this.chooseHedge(call, progress);
-				if (executor) {
-					open += 1;
-					second = this.send(call, executor, progress);
-					const sent = second;
-					void sent.result.then((result) => {
-						settle(sent, result);
+	private watch(watched: Watched): () => void {
+		const {call, progress, executor} = watched;
+		const ofExecutor = this.watched.get(executor.id) ?? new Set();
+		ofExecutor.add(watched);
+		this.watched.set(executor.id, ofExecutor);
+		const delay = this.parts.placement.hedgeDelay(this.query(call, progress), executor);
+		const undo =
+			delay === undefined
+				? undefined
+				: this.parts.clock.after(delay, () => {
+						this.tryHedge(watched);
 					});
-				}
-			});
-			void first.result.then((result) => {
-				settle(first, result);
-			});
-		});
+		return () => {
+			undo?.();
+			ofExecutor.delete(watched);
+			if (ofExecutor.size === 0) {
+				this.watched.delete(executor.id);
+			}
+		};
 	}
 
-	private chooseHedge(call: Call, progress: Progress): Member | undefined {
-		const isOver = call.cancellation.isCanceled || call.deadline.isPast(this.parts.clock.now());
-		if (isOver || progress.attempts >= call.policy.maxAttempts) {
-			return undefined;
+	private tryHedge({call, progress, executor, race}: Watched): void {
+		const {clock, placement, metrics, logger} = this.parts;
+		const isOver = call.cancellation.isCanceled || call.deadline.isPast(clock.now());
+		const isSpent = progress.arrivals + 1 >= call.policy.maxAttempts || progress.attempts > 1;
+		if (isOver || isSpent || !race.isOpen) {
+			return;
 		}
 
-		const executor = this.choose(call, progress);
-		if (!executor || !this.hedges.trySpend()) {
-			return undefined;
+		const query = this.query(call, progress);
+		const other = placement.choose(query);
+		if (!other || !placement.isHedgeWorthwhile(query, executor)) {
+			return;
+		}
+
+		if (!this.budgets.trySpendHedge(call.policy.service)) {
+			return;
 		}
 
-		this.parts.metrics.retries.inc({reason: RetryReason.Hedge});
-		return executor;
+		progress.arrivals += 1;
+		metrics.retries.inc({reason: RetryReason.Hedge});
+		logger.log(logEvents.callHedged, {
+			request: call.head.origin.requestId,
+			slow: executor.id,
+			executor: other.id,
+			objectiveLeft: Math.round(query.objectiveLeft),
+		});
+		race.add(this.send(call, other, progress));
 	}
 
 	private send(call: Call, executor: Member, progress: Progress): SentAttempt {
-		const {routing, metrics, clock} = this.parts;
+		const {placement, metrics, clock} = this.parts;
 		const cancellation = new Cancellation();
 		const undo = call.cancellation.registerListener(() => {
 			cancellation.cancel();
@@ -184,13 +277,13 @@
 		progress.executor = executor.id;
 		progress.tried.add(executor.id);
 		metrics.attempts.inc();
-		this.chargeLink(call, executor);
-		routing.noteSent(executor.id);
+		const query = this.query(call, progress);
+		placement.noteSent(query, executor);
 		const startedAt = clock.now();
 		const run = async (): Promise<AttemptResult> => {
 			const result = await this.parts.runnerTo(executor.id).run(attempt);
 			undo();
-			this.noteEnd(call, executor, result, startedAt);
+			this.noteEnd(query, executor, result, startedAt);
 			return result;
 		};
 
@@ -200,58 +293,76 @@
 	private createAttempt(call: Call, progress: Progress, cancellation: Cancellation): Attempt {
 		this.sequence += 1;
 		const id: AttemptId = {instance: this.parts.instance, sequence: this.sequence};
-		const {head, deadline, body, policy} = call;
+		const {head, deadline, objective, body, policy} = call;
 		const isBounceable = progress.bounces < maxBounces && this.bounces.trySpend();
-		return {id, head, share: policy.share, deadline, isBounceable, body, cancellation};
+		return {id, head, share: policy.share, deadline, objective, isBounceable, body, cancellation};
 	}
 
-	private noteEnd(call: Call, executor: Member, result: AttemptResult, sentAt: Millis): void {
-		const {routing, clock} = this.parts;
+	private noteEnd(
+		query: PlacementQuery,
+		executor: Member,
+		result: AttemptResult,
+		sentAt: Millis,
+	): void {
+		const {placement} = this.parts;
 		const load = result.end === AttemptEnd.Unknown ? undefined : result.load;
-		routing.noteEnded(executor.id, sentAt, load);
-		if (result.end === AttemptEnd.Answered) {
-			this.hedgeTimer.add(call.head.service, clock.now() - sentAt);
-			return;
-		}
-
+		const isAnswered = result.end === AttemptEnd.Answered;
+		const answerBytes = isAnswered ? (result.body.bytes?.length ?? 0) : undefined;
+		const isFailure =
+			(isAnswered && result.status >= serverErrorStatus) || result.end === AttemptEnd.Unknown;
+		placement.noteEnded(query, executor, {sentAt, load, answerBytes, isFailure});
 		const isFault =
-			result.reason === RefusalReason.LinkUnreachable ||
-			result.reason === RefusalReason.ExecutorLost ||
-			result.reason === RefusalReason.BackendUnreachable;
+			!isAnswered &&
+			(result.reason === RefusalReason.LinkUnreachable ||
+				result.reason === RefusalReason.ExecutorLost ||
+				result.reason === RefusalReason.BackendUnreachable ||
+				result.reason === RefusalReason.BackendReplaced ||
+				result.reason === RefusalReason.NoBackend);
 		if (isFault) {
-			routing.avoid(executor.id, avoidTime);
+			placement.avoid(executor.id, avoidTime);
 		}
 	}
 
 	private mayTryAgain(call: Call, result: AttemptResult, progress: Progress): boolean {
-		const {clock, metrics} = this.parts;
-		if (result.end === AttemptEnd.Answered || call.cancellation.isCanceled) {
+		const {clock} = this.parts;
+		if (call.cancellation.isCanceled || call.deadline.isPast(clock.now())) {
 			return false;
 		}
 
-		if (call.deadline.isPast(clock.now()) || call.body.stream?.readableDidRead) {
+		if (call.body.stream?.readableDidRead) {
 			return false;
 		}
 
 		if (result.end === AttemptEnd.Refused) {
 			const isAllowed = this.mayTryElsewhere(call, result.reason, progress);
-			if (isAllowed) {
-				metrics.retries.inc({reason: RetryReason.NotRun});
-			}
+			return isAllowed && this.noteRetry(call, RetryReason.NotRun, result.reason);
+		}
 
-			return isAllowed;
+		if (result.end === AttemptEnd.Answered && !isServerFailure(result)) {
+			return false;
 		}
 
-		progress.broken += result.reason === RefusalReason.BackendLost ? 1 : 0;
+		const reason = result.end === AttemptEnd.Answered ? RefusalReason.BackendFailed : result.reason;
+		progress.broken += reason === RefusalReason.BackendLost ? 1 : 0;
 		const isRepeatable =
 			call.head.isIdempotent &&
 			progress.broken < maxBroken &&
-			progress.attempts < call.policy.maxAttempts;
-		if (!isRepeatable || !this.retries.trySpend()) {
+			progress.arrivals < call.policy.maxAttempts;
+		if (!isRepeatable || !this.budgets.trySpendRetry(call.policy.service)) {
 			return false;
 		}
 
-		metrics.retries.inc({reason: RetryReason.IdempotentFailure});
+		return this.noteRetry(call, RetryReason.IdempotentFailure, reason);
+	}
+
+	private noteRetry(call: Call, kind: RetryReason, reason: RefusalReason): true {
+		this.parts.metrics.retries.inc({reason: kind});
+		this.parts.logger.log(logEvents.callRetried, {
+			request: call.head.origin.requestId,
+			kind,
+			reason,
+			timeLeft: Math.round(call.deadline.timeLeft(this.parts.clock.now())),
+		});
 		return true;
 	}
 
@@ -275,59 +386,17 @@
 		}
 
 		return (
-			progress.attempts - progress.bounces < call.policy.maxAttempts && this.retries.trySpend()
+			progress.attempts - progress.bounces < call.policy.maxAttempts &&
+			this.budgets.trySpendRetry(call.policy.service)
 		);
 	}
-
-	private choose(call: Call, progress: Progress): Member | undefined {
-		const {gossip, routing, clock} = this.parts;
-		const self = gossip.account;
-		const candidates = findCandidates(gossip.directory, self, call.head.service, progress.tried);
-		const timeLeft = call.deadline.timeLeft(clock.now());
-		const isNearEnough =
-			candidates.near.length > 0 &&
-			!isOtherRegionNeeded(routing.bestExpectedTime(candidates.near), timeLeft);
-		if (isNearEnough) {
-			return routing.choose({candidates: candidates.near, timeLeft});
-		}
-
-		const far = this.affordable(call, candidates.far);
-		const all = [...candidates.near, ...far];
-		return all.length > 0 ? routing.choose({candidates: all, timeLeft}) : undefined;
-	}
-
-	private affordable(call: Call, far: readonly Member[]): Member[] {
-		if (!call.service.isOtherRegionAllowed) {
-			return [];
-		}
-
-		return far.filter((member) => (this.linkBudget(call, member)?.level ?? 1) > 0);
-	}
-
-	private linkBudget(call: Call, member: Member): TokenBucket | undefined {
-		const {account, directory} = this.parts.gossip;
-		const link = call.index.link(account.region, member.region);
-		const nodes = directory.countInRegion(account.region);
-		return link && this.linkBudgets.bucket(member.region, link.callBytesPerSecond, nodes);
-	}
-
-	private chargeLink(call: Call, executor: Member): void {
-		if (distanceBetween(this.parts.gossip.account, executor) === Distance.OtherRegion) {
-			const bytes = callOverheadBytes + (call.body.bytes?.length ?? 0);
-			this.linkBudget(call, executor)?.charge(bytes);
-		}
-	}
-
-	private reasonForNone(call: Call): RefusalReason {
-		const {gossip} = this.parts;
-		const none = new Set<string>();
-		const {far} = findCandidates(gossip.directory, gossip.account, call.head.service, none);
-		const isHeldByBudget = call.service.isOtherRegionAllowed && far.length > 0;
-		return isHeldByBudget ? RefusalReason.LinkBudget : RefusalReason.NoBackend;
-	}
 }
 
-type SentAttempt = {
-	readonly cancellation: Cancellation;
-	readonly result: Promise<AttemptResult>;
-};
+// A failure that is held as a whole can still be replaced by the answer of another backend server.
+function isServerFailure(result: AttemptResult): result is AnsweredAttempt {
+	return (
+		result.end === AttemptEnd.Answered &&
+		result.status >= serverErrorStatus &&
+		result.body.bytes !== undefined
+	);
+}
--- a/src/ingress/index.ts
+++ b/src/ingress/index.ts
@@ -1,5 +1,13 @@
-export type {Call, CallEnd} from './call.js';
+export type {BudgetBursts} from './call-budgets.js';
 export {CallRunner, type CallRunnerParts} from './call-runner.js';
+export {
+	RefusedRequestError,
+	type CallerProtocol,
+	type CallTerms,
+	type RefusalNotice,
+} from './caller-protocol.js';
+export {NearestFirstPlacement} from './nearest-first-placement.js';
+export {TurmericCallerProtocol} from './turmeric-caller-protocol.js';
 export {Ingress, type IngressParts} from './ingress.js';
 export {
 	attemptsHeader,
@@ -7,6 +15,7 @@
 	keyHeader,
 	outcomeHeader,
 	reasonHeader,
+	requestIdHeader,
 	revisionHeader,
 	serviceHeader,
 	timeoutHeader,
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -10,53 +10,46 @@
 	type RequestHead,
 } from '../call/index.js';
 import {second, type Clock, type Millis} from '../clock/index.js';
-import {isIdempotent, type CallPolicy, type DeclarationIndex} from '../declaration/index.js';
-import {AttemptEnd, Cancellation, type AnsweredAttempt, type Body} from '../exchange/index.js';
-import {stripHeaders} from '../executor/index.js';
+import type {DeclarationIndex} from '../declaration/index.js';
+import {
+	AttemptEnd,
+	Cancellation,
+	type AnsweredAttempt,
+	type Body,
+	type Call,
+	type CallEnd,
+} from '../exchange/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 import {bound} from '../net/index.js';
 import {withResolvers} from '../util/index.js';
-import type {Call, CallEnd} from './call.js';
+import {
+	RefusedRequestError,
+	type CallerProtocol,
+	type CallTerms,
+	type RefusalNotice,
+} from './caller-protocol.js';
 import {fingerprint} from './fingerprint.js';
 import {readRequestBody, RequestBodyError} from './request-body.js';
-import {
-	attemptsHeader,
-	customerHeader,
-	keyHeader,
-	outcomeHeader,
-	reasonHeader,
-	revisionHeader,
-	serviceHeader,
-	timeoutHeader,
-} from './response-headers.js';
 
 /** What an ingress is made of. */
 export interface IngressParts {
 	readonly clock: Clock;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
-	readonly keyedCalls: KeyedCalls;
+	readonly protocol: CallerProtocol;
+	/** Undefined where calls have no keys. */
+	readonly keyedCalls: KeyedCalls | undefined;
 	/** @returns the configuration in force; undefined while the node is not ready. */
 	configuration(): DeclarationIndex | undefined;
 	/** Runs a call without a key. */
 	runCall(call: Call): Promise<CallEnd>;
 }
 
-/** A request that cannot become a call. */
-class RefusedRequestError extends Error {
-	override name = 'RefusedRequestError';
-
-	constructor(readonly reason: RefusalReason) {
-		super(reason);
-	}
-}
-
 const maxHeaderBytes = 16_384;
 const maxInFlight = 4000;
 const headTimeout: Millis = 10 * second;
 const requestTimeout: Millis = 60 * second;
 const idleTimeout: Millis = 15 * second;
-const maxKeyLength = 255;
 /** Path that hands out an idempotency key of this node. */
 const issuePath = '/turmeric/keys';
 
@@ -110,6 +103,13 @@
 		this.isDraining = true;
 	}
 
+	/**
+	 * @param span - how long a connection may stay idle, in ms.
+	 */
+	setIdleTimeout(span: Millis): void {
+		this.server.keepAliveTimeout = span;
+	}
+
 	/** Takes no more connections. */
 	close(): void {
 		this.server.close();
@@ -124,7 +124,7 @@
 		try {
 			outcome = await this.answer(req, res);
 		} catch (err) {
-			outcome = this.answerError(err, res);
+			outcome = this.answerError(err, req, res);
 		} finally {
 			this.calls.delete(res);
 			const {metrics, clock} = this.parts;
@@ -144,8 +144,9 @@
 			throw new RefusedRequestError(RefusalReason.NotReady);
 		}
 
-		if (req.url === issuePath && req.method === 'POST') {
-			return this.issueKey(req, res);
+		const {keyedCalls} = this.parts;
+		if (keyedCalls && req.url === issuePath && req.method === 'POST') {
+			return this.issueKey(req, res, keyedCalls);
 		}
 
 		const call = await this.createCall(req, res, index);
@@ -155,16 +156,17 @@
 
 	private async run(call: Call): Promise<CallEnd> {
 		const {key} = call.head;
-		if (key === undefined || call.head.isIdempotent) {
+		const {keyedCalls} = this.parts;
+		if (!keyedCalls || key === undefined || call.head.isIdempotent) {
 			return this.parts.runCall(call);
 		}
 
-		return this.parts.keyedCalls.run(call, key);
+		return keyedCalls.run(call, key);
 	}
 
-	private issueKey(req: IncomingMessage, res: ServerResponse): Outcome {
+	private issueKey(req: IncomingMessage, res: ServerResponse, keyedCalls: KeyedCalls): Outcome {
 		req.resume();
-		const key = this.parts.keyedCalls.issueKey();
+		const key = keyedCalls.issueKey();
 		this.writeHead(res, 201, ['content-type', 'application/json']);
 		res.end(`${JSON.stringify({key})}\n`);
 		return Outcome.Answered;
@@ -176,21 +178,10 @@
 		index: DeclarationIndex,
 	): Promise<Call> {
 		const startedAt = this.parts.clock.now();
-		const serviceName = readService(req);
-		const service = index.service(serviceName);
-		if (!service) {
-			throw new RefusedRequestError(RefusalReason.NoService);
-		}
-
-		const customer = readHeader(req, customerHeader) ?? '';
-		const policy = index.call(serviceName, customer);
-		if (!policy) {
-			throw new RefusedRequestError(RefusalReason.UnknownCustomer);
-		}
-
-		const deadline = Deadline.in(startedAt, readTimeout(req, policy));
+		const terms = this.parts.protocol.readTerms(req, index);
+		this.checkLength(req, index);
 		const body = await readRequestBody(req);
-		const head = this.createHead(req, policy, body);
+		const head = createHead(req, terms, body);
 		const cancellation = new Cancellation();
 		// A call with a key goes on when its caller is lost, as the caller will send it again.
 		if (head.key === undefined || head.isIdempotent) {
@@ -201,43 +192,37 @@
 			});
 		}
 
-		return {head, policy, service, index, deadline, body, cancellation};
-	}
-
-	private createHead(req: IncomingMessage, policy: CallPolicy, body: Body): RequestHead {
-		const {service, customer} = policy;
-		const method = req.method ?? 'GET';
-		const path = req.url ?? '/';
-		const key = readHeader(req, keyHeader);
-		if (key !== undefined && (key === '' || key.length > maxKeyLength)) {
-			throw new RefusedRequestError(RefusalReason.BadRequest);
-		}
-
+		const {policy, service, timeout, objective} = terms;
 		return {
+			head,
+			policy,
 			service,
-			customer,
-			method,
-			path,
-			headers: stripHeaders(req.rawHeaders),
-			isIdempotent: isIdempotent(policy, method, path),
-			key,
-			fingerprint: fingerprint({service, customer, method, path, key, body}),
+			index,
+			deadline: Deadline.in(startedAt, timeout),
+			objective: Deadline.in(startedAt, objective),
+			body,
+			cancellation,
 		};
 	}
 
+	private checkLength(req: IncomingMessage, index: DeclarationIndex): void {
+		const limit = index.declaration.callerLimits?.maxBodyBytes;
+		if (limit !== undefined && Number(req.headers['content-length'] ?? 0) > limit) {
+			throw new RefusedRequestError(RefusalReason.BodyTooLarge);
+		}
+	}
+
 	private async sendEnd(res: ServerResponse, call: Call, end: CallEnd): Promise<Outcome> {
 		const {result} = end;
-		const headers = [
-			attemptsHeader,
-			String(end.attempts),
-			revisionHeader,
-			String(call.index.revision),
-		];
+		const {protocol} = this.parts;
+		this.logEnd(call, end);
 		if (result.end === AttemptEnd.Answered) {
-			return this.sendAnswer(res, result, headers);
+			return this.sendAnswer(res, result, protocol.answerHeaders(call, end));
 		}
 
-		return this.sendRefusal(res, result.reason, headers);
+		const {reason} = result;
+		const retryAfter = end.roomIn ?? refusals[reason].retryAfter;
+		return this.sendRefusal(res, {reason, retryAfter}, end);
 	}
 
 	private async sendAnswer(
@@ -246,7 +231,7 @@
 		extra: HeaderList,
 	): Promise<Outcome> {
 		const {body, status, headers} = result;
-		this.writeHead(res, status, [...headers, outcomeHeader, Outcome.Answered, ...extra]);
+		this.writeHead(res, status, [...headers, ...extra]);
 		if (body.bytes) {
 			res.end(body.bytes);
 			return Outcome.Answered;
@@ -274,17 +259,45 @@
 		return promise;
 	}
 
-	private sendRefusal(res: ServerResponse, reason: RefusalReason, extra: HeaderList): Outcome {
+	private logEnd(call: Call, end: CallEnd): void {
+		const {result} = end;
+		const {clock, logger} = this.parts;
+		const now = clock.now();
+		const isAnswered = result.end === AttemptEnd.Answered;
+		logger.log(logEvents.callEnded, {
+			request: call.head.origin.requestId,
+			route: call.head.origin.route,
+			service: call.head.service,
+			end: result.end,
+			status: isAnswered ? result.status : refusals[result.reason].status,
+			reason: isAnswered ? undefined : result.reason,
+			attempts: end.attempts,
+			executor: end.executor,
+			objectiveLeft: Math.round(call.objective.at - now),
+			timeLeft: Math.round(call.deadline.at - now),
+			roomIn: end.roomIn && Math.round(end.roomIn),
+			revision: call.index.revision,
+		});
+	}
+
+	private sendRefusal(res: ServerResponse, notice: RefusalNotice, end?: CallEnd): Outcome {
+		const {reason} = notice;
 		const refusal = refusals[reason];
 		this.parts.metrics.refusals.inc({reason});
-		const text = `${JSON.stringify({outcome: refusal.outcome, reason})}\n`;
-		const headers = refusalHeaders(reason, text.length);
-		this.writeHead(res, refusal.status, [...headers, ...extra]);
+		const text = `${JSON.stringify({outcome: refusal.outcome, reason, attempts: end?.attempts})}\n`;
+		this.writeHead(res, refusal.status, this.refusalHeaders(notice, text));
 		res.end(text);
 		return refusal.outcome;
 	}
 
-	private answerError(err: unknown, res: ServerResponse): Outcome {
+	private refusalHeaders(notice: RefusalNotice, text: string): HeaderList {
+		const length = String(text.length);
+		const headers = ['content-type', 'application/json', 'content-length', length];
+		return [...headers, ...this.parts.protocol.refusalHeaders(notice)];
+	}
+
+	private answerError(err: unknown, req: IncomingMessage, res: ServerResponse): Outcome {
+		const {protocol, logger} = this.parts;
 		if (err instanceof RequestBodyError) {
 			res.destroy();
 			return Outcome.NotRun;
@@ -292,11 +305,18 @@
 
 		if (err instanceof RefusedRequestError && !res.headersSent) {
 			// What is left of the request is not read: the connection ends with the refusal.
-			res.shouldKeepAlive = res.req.complete;
-			return this.sendRefusal(res, reasonFor(res.req, err.reason), []);
+			res.shouldKeepAlive = req.complete;
+			const reason = protocol.refine(req, err.reason);
+			logger.log(logEvents.requestRefused, {
+				host: req.headers.host,
+				path: req.url,
+				reason,
+				revision: this.parts.configuration()?.revision,
+			});
+			return this.sendRefusal(res, {reason, retryAfter: refusals[reason].retryAfter});
 		}
 
-		this.parts.logger.log(logEvents.unexpectedError, {error: String(err)});
+		logger.log(logEvents.unexpectedError, {error: String(err)});
 		res.destroy();
 		return Outcome.Unknown;
 	}
@@ -311,7 +331,7 @@
 		this.parts.metrics.refusals.inc({reason});
 		this.parts.metrics.calls.inc({outcome: Outcome.NotRun});
 		const text = `${JSON.stringify({outcome: Outcome.NotRun, reason, detail: err.code})}\n`;
-		const headers = refusalHeaders(reason, text.length);
+		const headers = this.refusalHeaders({reason, retryAfter: refusals[reason].retryAfter}, text);
 		const lines: string[] = [];
 		for (let i = 0; i < headers.length; i += 2) {
 			lines.push(`${headers[i]}: ${headers[i + 1]}\r\n`);
@@ -332,12 +352,6 @@
 	}
 }
 
-// With a key, a refusal before its home was asked says nothing of earlier copies.
-function reasonFor(req: IncomingMessage, reason: RefusalReason): RefusalReason {
-	const hasKey = readHeader(req, keyHeader) !== undefined;
-	return hasKey && reason !== RefusalReason.BadRequest ? RefusalReason.KeyNotChecked : reason;
-}
-
 function badRequestStatus(err: NodeJS.ErrnoException): string {
 	switch (err.code) {
 		case 'HPE_HEADER_OVERFLOW': {
@@ -354,25 +368,6 @@
 	}
 }
 
-function refusalHeaders(reason: RefusalReason, length: number): HeaderList {
-	const {outcome, retryAfter} = refusals[reason];
-	const headers = [
-		'content-type',
-		'application/json',
-		'content-length',
-		String(length),
-		outcomeHeader,
-		outcome,
-		reasonHeader,
-		reason,
-	];
-	if (retryAfter !== undefined) {
-		headers.push('retry-after', String(Math.ceil(retryAfter / second)));
-	}
-
-	return headers;
-}
-
 function hasDate(headers: HeaderList): boolean {
 	for (let i = 0; i < headers.length; i += 2) {
 		if (headers[i]!.toLowerCase() === 'date') {
@@ -394,26 +389,20 @@
 	}
 }
 
-function readHeader(req: IncomingMessage, name: string): string | undefined {
-	const value = req.headers[name];
-	return typeof value === 'string' ? value : undefined;
-}
-
-function readService(req: IncomingMessage): string {
-	const host = req.headers.host ?? '';
-	return readHeader(req, serviceHeader) ?? host.split(/[.:]/v, 1)[0] ?? '';
-}
-
-function readTimeout(req: IncomingMessage, policy: CallPolicy): Millis {
-	const text = readHeader(req, timeoutHeader);
-	if (text === undefined) {
-		return policy.deadline;
-	}
-
-	const timeout = Number(text);
-	if (text === '' || !Number.isFinite(timeout) || timeout < 0) {
-		throw new RefusedRequestError(RefusalReason.BadRequest);
-	}
-
-	return Math.min(timeout, policy.maxDeadline);
+function createHead(req: IncomingMessage, terms: CallTerms, body: Body): RequestHead {
+	const {policy, headers, isIdempotent, key, origin} = terms;
+	const {service, customer} = policy;
+	const method = req.method ?? 'GET';
+	const path = req.url ?? '/';
+	return {
+		service,
+		customer,
+		method,
+		path,
+		headers,
+		isIdempotent,
+		key,
+		origin,
+		fingerprint: fingerprint({service, customer, method, path, key, body}),
+	};
 }
--- /dev/null
+++ b/src/ingress/nearest-first-placement.ts
@@ -0,0 +1,114 @@
+import {RegionBuckets, type TokenBucket} from '../budget/index.js';
+import {RefusalReason} from '../call/index.js';
+import type {Clock, Millis} from '../clock/index.js';
+import type {RevisionKeeper} from '../declaration/index.js';
+import {Distance, distanceBetween, type Gossip, type Member} from '../membership/index.js';
+import {
+	findCandidates,
+	isOtherRegionNeeded,
+	type AttemptNews,
+	type ExpectedWaitPolicy,
+	type Placement,
+	type PlacementQuery,
+} from '../routing/index.js';
+import {HedgeTimer} from './hedge-timer.js';
+
+/** What a placement is made of. */
+export interface NearestFirstParts {
+	readonly clock: Clock;
+	readonly gossip: Gossip;
+	readonly routing: ExpectedWaitPolicy;
+	readonly keeper: Pick<RevisionKeeper, 'inForce'>;
+}
+
+/** Bytes of head and framing of a call and its answer. */
+const callOverheadBytes = 600;
+const nobody: ReadonlySet<string> = new Set();
+
+/**
+ * Keeps calls within the region as long as their deadline allows it, and crosses the paid link only
+ * within its declared budget.
+ */
+export class NearestFirstPlacement implements Placement {
+	private readonly linkBudgets: RegionBuckets;
+	private readonly hedgeTimer = new HedgeTimer();
+
+	constructor(private readonly parts: NearestFirstParts) {
+		this.linkBudgets = new RegionBuckets(parts.clock);
+	}
+
+	choose(query: PlacementQuery): Member | undefined {
+		const {gossip, routing} = this.parts;
+		const {service, excluded, timeLeft} = query;
+		const candidates = findCandidates(gossip.directory, gossip.account, service, excluded);
+		const isNearEnough =
+			candidates.near.length > 0 &&
+			!isOtherRegionNeeded(routing.bestExpectedTime(candidates.near), timeLeft);
+		if (isNearEnough) {
+			return routing.choose({candidates: candidates.near, timeLeft});
+		}
+
+		const all = [...candidates.near, ...this.affordable(query, candidates.far)];
+		return all.length > 0 ? routing.choose({candidates: all, timeLeft}) : undefined;
+	}
+
+	reasonForNone(query: PlacementQuery): RefusalReason {
+		const {gossip} = this.parts;
+		const {far} = findCandidates(gossip.directory, gossip.account, query.service, nobody);
+		const isHeldByBudget = this.isOtherRegionAllowed(query) && far.length > 0;
+		return isHeldByBudget ? RefusalReason.LinkBudget : RefusalReason.NoBackend;
+	}
+
+	hedgeDelay(query: PlacementQuery): Millis | undefined {
+		return this.hedgeTimer.delayFor(query.service);
+	}
+
+	isHedgeWorthwhile(): boolean {
+		return true;
+	}
+
+	roomIn(): Millis | undefined {
+		return undefined;
+	}
+
+	noteSent(query: PlacementQuery, executor: Member): void {
+		this.parts.routing.noteSent(executor.id);
+		if (distanceBetween(this.parts.gossip.account, executor) === Distance.OtherRegion) {
+			this.linkBudget(executor)?.charge(callOverheadBytes + query.requestBytes);
+		}
+	}
+
+	noteEnded(query: PlacementQuery, executor: Member, news: AttemptNews): void {
+		this.parts.routing.noteEnded(executor.id, news.sentAt, news.load);
+		if (news.answerBytes !== undefined) {
+			this.hedgeTimer.add(query.service, this.parts.clock.now() - news.sentAt);
+		}
+	}
+
+	avoid(id: string, span: Millis): void {
+		this.parts.routing.avoid(id, span);
+	}
+
+	forget(id: string): void {
+		this.parts.routing.forget(id);
+	}
+
+	private isOtherRegionAllowed(query: PlacementQuery): boolean {
+		return this.parts.keeper.inForce?.service(query.service)?.isOtherRegionAllowed ?? false;
+	}
+
+	private affordable(query: PlacementQuery, far: readonly Member[]): Member[] {
+		if (!this.isOtherRegionAllowed(query)) {
+			return [];
+		}
+
+		return far.filter((member) => (this.linkBudget(member)?.level ?? 1) > 0);
+	}
+
+	private linkBudget(member: Member): TokenBucket | undefined {
+		const {account, directory} = this.parts.gossip;
+		const link = this.parts.keeper.inForce?.link(account.region, member.region);
+		const nodes = directory.countInRegion(account.region);
+		return link && this.linkBudgets.bucket(member.region, link.callBytesPerSecond, nodes);
+	}
+}
--- a/src/ingress/response-headers.ts
+++ b/src/ingress/response-headers.ts
@@ -23,3 +23,6 @@
 
 /** The configuration revision under which the call ran. */
 export const revisionHeader = 'turmeric-revision';
+
+/** Identifies the request in logs; made up here when the caller sends none. */
+export const requestIdHeader = 'x-request-id';
--- /dev/null
+++ b/src/ingress/turmeric-caller-protocol.ts
@@ -0,0 +1,115 @@
+import type {IncomingMessage} from 'node:http';
+import {Outcome, RefusalReason, refusals, type HeaderList} from '../call/index.js';
+import {second, type Millis} from '../clock/index.js';
+import {isIdempotent, type CallPolicy, type DeclarationIndex} from '../declaration/index.js';
+import type {Call, CallEnd} from '../exchange/index.js';
+import {stripHeaders} from '../executor/index.js';
+import {
+	RefusedRequestError,
+	type CallerProtocol,
+	type CallTerms,
+	type RefusalNotice,
+} from './caller-protocol.js';
+import {
+	attemptsHeader,
+	customerHeader,
+	keyHeader,
+	outcomeHeader,
+	reasonHeader,
+	requestIdHeader,
+	revisionHeader,
+	serviceHeader,
+	timeoutHeader,
+} from './response-headers.js';
+
+const maxKeyLength = 255;
+
+/** The product's own protocol towards callers, who name a service and a customer. */
+export class TurmericCallerProtocol implements CallerProtocol {
+	private requests = 0;
+
+	constructor(private readonly instance: string) {}
+
+	readTerms(req: IncomingMessage, index: DeclarationIndex): CallTerms {
+		const serviceName = readService(req);
+		const service = index.service(serviceName);
+		if (!service) {
+			throw new RefusedRequestError(RefusalReason.NoService);
+		}
+
+		const customer = readHeader(req, customerHeader) ?? '';
+		const policy = index.call(serviceName, customer);
+		if (!policy) {
+			throw new RefusedRequestError(RefusalReason.UnknownCustomer);
+		}
+
+		const key = readHeader(req, keyHeader);
+		if (key !== undefined && (key === '' || key.length > maxKeyLength)) {
+			throw new RefusedRequestError(RefusalReason.BadRequest);
+		}
+
+		const timeout = readTimeout(req, policy);
+		this.requests += 1;
+		const requestId = readHeader(req, requestIdHeader) ?? `${this.instance}.${this.requests}`;
+		return {
+			service,
+			policy,
+			isIdempotent: isIdempotent(policy, req.method ?? 'GET', req.url ?? '/'),
+			key,
+			origin: {requestId, caller: '', route: '', priority: 0},
+			timeout,
+			objective: timeout,
+			headers: stripHeaders(req.rawHeaders),
+		};
+	}
+
+	answerHeaders(call: Call, end: CallEnd): HeaderList {
+		return [
+			outcomeHeader,
+			Outcome.Answered,
+			attemptsHeader,
+			String(end.attempts),
+			revisionHeader,
+			String(call.index.revision),
+		];
+	}
+
+	refusalHeaders({reason, retryAfter}: RefusalNotice): HeaderList {
+		const headers = [outcomeHeader, refusals[reason].outcome, reasonHeader, reason];
+		if (retryAfter !== undefined) {
+			headers.push('retry-after', String(Math.ceil(retryAfter / second)));
+		}
+
+		return headers;
+	}
+
+	// With a key, a refusal before its home was asked says nothing of earlier copies.
+	refine(req: IncomingMessage, reason: RefusalReason): RefusalReason {
+		const hasKey = readHeader(req, keyHeader) !== undefined;
+		return hasKey && reason !== RefusalReason.BadRequest ? RefusalReason.KeyNotChecked : reason;
+	}
+}
+
+function readHeader(req: IncomingMessage, name: string): string | undefined {
+	const value = req.headers[name];
+	return typeof value === 'string' ? value : undefined;
+}
+
+function readService(req: IncomingMessage): string {
+	const host = req.headers.host ?? '';
+	return readHeader(req, serviceHeader) ?? host.split(/[.:]/v, 1)[0] ?? '';
+}
+
+function readTimeout(req: IncomingMessage, policy: CallPolicy): Millis {
+	const text = readHeader(req, timeoutHeader);
+	if (text === undefined) {
+		return policy.deadline;
+	}
+
+	const timeout = Number(text);
+	if (text === '' || !Number.isFinite(timeout) || timeout < 0) {
+		throw new RefusedRequestError(RefusalReason.BadRequest);
+	}
+
+	return Math.min(timeout, policy.maxDeadline);
+}
--- a/src/link/__tests__/unit/frame-codec.test.ts
+++ b/src/link/__tests__/unit/frame-codec.test.ts
@@ -10,7 +10,7 @@
 	type Frame,
 } from '../../index.js';
 
-const load = {inFlight: 3, queued: 1, slots: 10, serviceTime: 12.5, failureShare: 0.25};
+const load = {inFlight: 3, queued: 1, slots: 10, serviceTime: 12.5, failureShare: 0.25, slowdown: 7};
 const frames: Frame[] = [
 	{type: FrameType.Challenge, version: 1, nonce: 'n'},
 	{type: FrameType.Hello, version: 1, id: 'a', instance: 'i', region: 'r', nonce: 'n', proof: 'p'},
@@ -27,10 +27,12 @@
 		headers: ['x', 'y'],
 		isIdempotent: false,
 		key: undefined,
+		origin: {requestId: 'r1', caller: 'a', route: 'r', priority: 2},
 		fingerprint: 'f',
 		share: 1,
 		isBounceable: true,
 		timeLeft: 12.5,
+		objectiveLeft: 4.25,
 		body: undefined,
 	},
 	{type: FrameType.Credit, stream: 2, bytes: 100},
@@ -42,6 +44,7 @@
 	{type: FrameType.Told, question: 1, state: AttemptState.Ran},
 	{type: FrameType.Beat},
 	{type: FrameType.Leaving},
+	{type: FrameType.Load, load},
 	{type: FrameType.Fetch, question: 3, hash: 'h'},
 	{type: FrameType.Fetched, question: 3, content: undefined},
 	{type: FrameType.HandoverTaken, question: 4},
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -1,5 +1,11 @@
 import {Packr} from 'msgpackr';
-import {AttemptState, RefusalReason, type HeaderList, type LoadReport} from '../call/index.js';
+import {
+	AttemptState,
+	RefusalReason,
+	type HeaderList,
+	type LoadReport,
+	type RequestOrigin,
+} from '../call/index.js';
 import {FrameType, OpenTarget, type Frame} from './frame.js';
 
 /** Bytes that are no frame of this protocol. */
@@ -17,8 +23,22 @@
 	AttemptState.Forgotten,
 ] as const;
 
+// Three digits after the point: figures as short as that take few bytes on the paid link.
+function round(value: number): number {
+	return Math.round(value * 1000) / 1000;
+}
+
 function packLoad(load: LoadReport | undefined): readonly number[] | undefined {
-	return load && [load.inFlight, load.queued, load.slots, load.serviceTime, load.failureShare];
+	if (!load) {
+		return undefined;
+	}
+
+	const {inFlight, queued, slots, serviceTime, failureShare, slowdown} = load;
+	return [inFlight, queued, slots, round(serviceTime), round(failureShare), round(slowdown)];
+}
+
+function packOrigin(origin: RequestOrigin): readonly unknown[] {
+	return [origin.requestId, origin.caller, origin.route, origin.priority];
 }
 
 function packFields(frame: Frame): readonly unknown[] {
@@ -50,10 +70,12 @@
 				frame.headers,
 				frame.isIdempotent,
 				frame.key,
+				packOrigin(frame.origin),
 				frame.fingerprint,
 				frame.share,
 				frame.isBounceable,
-				frame.timeLeft,
+				round(frame.timeLeft),
+				round(frame.objectiveLeft),
 				frame.body,
 			];
 		}
@@ -100,6 +122,10 @@
 			return [type];
 		}
 
+		case FrameType.Load: {
+			return [type, packLoad(frame.load)];
+		}
+
 		case FrameType.Fetch: {
 			return [type, frame.question, frame.hash];
 		}
@@ -203,6 +229,17 @@
 			slots: fields.number(),
 			serviceTime: fields.number(),
 			failureShare: fields.number(),
+			slowdown: fields.number(),
+		};
+	}
+
+	origin(): RequestOrigin {
+		const fields = new FieldReader(this.list());
+		return {
+			requestId: fields.text(),
+			caller: fields.text(),
+			route: fields.text(),
+			priority: fields.number(),
 		};
 	}
 
@@ -288,10 +325,12 @@
 		headers: fields.headers(),
 		isIdempotent: fields.flag(),
 		key: fields.optionalText(),
+		origin: fields.origin(),
 		fingerprint: fields.text(),
 		share: fields.number(),
 		isBounceable: fields.flag(),
 		timeLeft: fields.number(),
+		objectiveLeft: fields.number(),
 		body: fields.optionalBytes(),
 	}),
 	[FrameType.Credit]: (fields) => ({
@@ -342,6 +381,7 @@
 	}),
 	[FrameType.Beat]: () => ({type: FrameType.Beat}),
 	[FrameType.Leaving]: () => ({type: FrameType.Leaving}),
+	[FrameType.Load]: (fields) => ({type: FrameType.Load, load: fields.load()}),
 	[FrameType.Fetch]: (fields) => ({
 		type: FrameType.Fetch,
 		question: fields.number(),
--- a/src/link/frame.ts
+++ b/src/link/frame.ts
@@ -1,8 +1,8 @@
-import type {AttemptState, HeaderList, LoadReport, RefusalReason} from '../call/index.js';
+import type {AttemptState, HeaderList, LoadReport, RefusalReason, RequestOrigin} from '../call/index.js';
 import type {Millis} from '../clock/index.js';
 
 /** Version of the link protocol; peers of another version are turned away. */
-export const protocolVersion = 1;
+export const protocolVersion = 2;
 
 /** Kinds of frame; the values are part of the wire format. */
 export enum FrameType {
@@ -25,6 +25,7 @@
 	Fetched = 16,
 	Handover = 17,
 	HandoverTaken = 18,
+	Load = 19,
 }
 
 /** The accepting side proves nothing yet and asks the dialing side for a proof. */
@@ -75,11 +76,14 @@
 	readonly headers: HeaderList;
 	readonly isIdempotent: boolean;
 	readonly key: string | undefined;
+	readonly origin: RequestOrigin;
 	readonly fingerprint: string;
 	readonly share: number;
 	readonly isBounceable: boolean;
 	/** How long the caller still waits, in ms. */
 	readonly timeLeft: Millis;
+	/** How long an answer is still in time, in ms. */
+	readonly objectiveLeft: Millis;
 	/** The whole body; undefined when it follows as a stream. */
 	readonly body: Uint8Array | undefined;
 }
@@ -158,6 +162,12 @@
 	readonly type: FrameType.Leaving;
 }
 
+/** Tells the load of the sender's backend server, without being asked. */
+export interface LoadFrame {
+	readonly type: FrameType.Load;
+	readonly load: LoadReport;
+}
+
 /** Asks for the content of a configuration revision. */
 export interface FetchFrame {
 	readonly type: FrameType.Fetch;
@@ -200,6 +210,7 @@
 	| ToldFrame
 	| BeatFrame
 	| LeavingFrame
+	| LoadFrame
 	| FetchFrame
 	| FetchedFrame
 	| HandoverFrame
--- a/src/link/incoming-attempt.ts
+++ b/src/link/incoming-attempt.ts
@@ -17,7 +17,14 @@
 import type {Link} from './link.js';
 import {windowBytes} from './link-limits.js';
 
-const noLoad: LoadReport = {inFlight: 0, queued: 0, slots: 0, serviceTime: 0, failureShare: 0};
+const noLoad: LoadReport = {
+	inFlight: 0,
+	queued: 0,
+	slots: 0,
+	serviceTime: 0,
+	failureShare: 0,
+	slowdown: 1,
+};
 
 /** An attempt that a peer has sent to this node. */
 export class IncomingAttempt {
@@ -44,14 +51,15 @@
 	 * @returns the attempt as the executor takes it.
 	 */
 	toAttempt(instance: string, now: Millis, staleness: Millis): Attempt {
-		const {sequence, share, isBounceable, timeLeft} = this.frame;
-		const {service, customer, method, path, headers, isIdempotent, key, fingerprint} = this.frame;
+		const {sequence, share, isBounceable, timeLeft, objectiveLeft} = this.frame;
+		const {service, customer, method, path, headers, isIdempotent, key, fingerprint, origin} = this.frame;
 		return {
 			id: {instance, sequence},
-			head: {service, customer, method, path, headers, isIdempotent, key, fingerprint},
+			head: {service, customer, method, path, headers, isIdempotent, key, origin, fingerprint},
 			share,
 			isBounceable,
 			deadline: Deadline.in(now, timeLeft - staleness),
+			objective: Deadline.in(now, objectiveLeft - staleness),
 			body: this.body(),
 			cancellation: this.cancellation,
 		};
--- a/src/link/link-hub.ts
+++ b/src/link/link-hub.ts
@@ -1,5 +1,5 @@
 import {WebSocket, WebSocketServer} from 'ws';
-import {AttemptState, RefusalReason} from '../call/index.js';
+import {AttemptState, RefusalReason, type LoadReport} from '../call/index.js';
 import type {Millis, Undo} from '../clock/index.js';
 import {
 	createRefused,
@@ -141,6 +141,19 @@
 		}
 	}
 
+	/**
+	 * Tells the load of the own backend server to linked peers.
+	 * @param load - the load.
+	 * @param isReceiver - tells which peers hear of it.
+	 */
+	announceLoad(load: LoadReport, isReceiver: (peer: PeerIdentity) => boolean): void {
+		for (const session of this.sessions.values()) {
+			if (session.link.peer && isReceiver(session.link.peer)) {
+				session.link.send({type: FrameType.Load, load});
+			}
+		}
+	}
+
 	/** Closes all links. */
 	stop(): void {
 		this.isStopped = true;
@@ -176,6 +189,9 @@
 			peerLeaving(id) {
 				host.peerLeaving(id);
 			},
+			peerLoad(id, load) {
+				host.peerLoad(id, load);
+			},
 			lateFrame() {
 				metrics.lateAnswers.inc();
 			},
@@ -309,12 +325,20 @@
 				session.loseSilent();
 				const id = session.link.peer?.id;
 				if (id !== undefined) {
+					this.retire(id, session);
 					this.parts.host.peerSilent(id);
 				}
 			}
 		}
 	}
 
+	// New calls go over a new link; the silent one is kept for answers that may still come.
+	private retire(id: string, session: PeerSession): void {
+		if (this.sessions.get(id) === session) {
+			this.sessions.delete(id);
+		}
+	}
+
 	private countBytes(link: Link, bytes: number, kind: TrafficKind): void {
 		const region = link.peer?.region ?? 'unknown';
 		this.parts.metrics.linkBytes.inc({region, kind}, bytes);
--- a/src/link/outgoing-attempt.ts
+++ b/src/link/outgoing-attempt.ts
@@ -67,8 +67,9 @@
 	 * Sends the attempt.
 	 * @param target - who handles it at the other side.
 	 * @param timeLeft - how long the caller still waits, in ms.
+	 * @param objectiveLeft - how long an answer is still in time, in ms.
 	 */
-	open(target: OpenTarget, timeLeft: number): void {
+	open(target: OpenTarget, timeLeft: number, objectiveLeft: number): void {
 		const {head, id, share, isBounceable, body} = this.attempt;
 		this.link.send({
 			type: FrameType.Open,
@@ -82,10 +83,12 @@
 			headers: head.headers,
 			isIdempotent: head.isIdempotent,
 			key: head.key,
+			origin: head.origin,
 			fingerprint: head.fingerprint,
 			share,
 			isBounceable,
 			timeLeft,
+			objectiveLeft,
 			body: body.bytes,
 		});
 		this.undos.push(
--- a/src/link/peer-session.ts
+++ b/src/link/peer-session.ts
@@ -1,4 +1,4 @@
-import {type AttemptState, RefusalReason} from '../call/index.js';
+import {type AttemptState, type LoadReport, RefusalReason} from '../call/index.js';
 import type {Millis, Undo} from '../clock/index.js';
 import {
 	createRefused,
@@ -50,6 +50,8 @@
 	takeHandover(from: string, records: Uint8Array): void;
 	/** A peer takes no new work. */
 	peerLeaving(id: string): void;
+	/** A peer tells the load of its backend server. */
+	peerLoad(id: string, load: LoadReport): void;
 	/** An answer came for an attempt that has ended. */
 	lateFrame(): void;
 }
@@ -107,7 +109,7 @@
 		const cancelTimer = this.host.after(timeLeft, () => {
 			outgoing.expire();
 		});
-		outgoing.open(target, timeLeft);
+		outgoing.open(target, timeLeft, attempt.objective.timeLeft(this.host.now()));
 		const result = await outgoing.result;
 		cancelTimer();
 		return result;
@@ -237,6 +239,11 @@
 				return true;
 			}
 
+			case FrameType.Load: {
+				this.host.peerLoad(this.peerId, frame.load);
+				return true;
+			}
+
 			case FrameType.Beat: {
 				return true;
 			}
--- a/src/node/announcement.ts
+++ b/src/node/announcement.ts
@@ -1,4 +1,5 @@
 import {isIP} from 'node:net';
+import type {Millis} from '../clock/index.js';
 import {FindingsError, type Finding} from '../ini/index.js';
 
 /** What a backend server says of itself. */
@@ -15,13 +16,26 @@
 	readonly port: number;
 	/** Calls that it can run at once. */
 	readonly slots: number;
-	/** Connections that it takes at the most. */
-	readonly connections: number;
+	/** Connections that it takes at the most; undefined where the declaration says it. */
+	readonly connections: number | undefined;
 	/** Unique for each start of the backend server. */
 	readonly instance: string;
 	readonly state: AnnouncedState;
 	/** Path of its health endpoint; empty for none. */
 	readonly healthPath: string;
+	/** Orders the starts at one address; undefined where the backend server does not tell it. */
+	readonly startedAt: number | undefined;
+	/** Orders the announcements of one start; undefined where they are not numbered. */
+	readonly sequence: number | undefined;
+	/** How much longer the backend server is slow after its start, in ms. */
+	readonly warmUpLeft: Millis;
+}
+
+/** A backend server says that it takes no more work and will not announce itself again. */
+export interface Departure {
+	readonly instance: string;
+	/** Orders the starts at one address; undefined where the backend server does not tell it. */
+	readonly startedAt: number | undefined;
 }
 
 const maxPort = 65_535;
@@ -110,6 +124,9 @@
 		instance: reader.text('instance'),
 		state: state ?? AnnouncedState.Serving,
 		healthPath: reader.text('healthPath', ''),
+		startedAt: undefined,
+		sequence: undefined,
+		warmUpLeft: 0,
 	};
 	if (reader.findings.length > 0) {
 		throw new FindingsError(reader.findings);
--- a/src/node/backend-keeper.ts
+++ b/src/node/backend-keeper.ts
@@ -5,7 +5,7 @@
 import type {Executor} from '../executor/index.js';
 import {MemberPhase, type Gossip} from '../membership/index.js';
 import {logEvents, type Logger} from '../telemetry/index.js';
-import {AnnouncedState, type Announcement} from './announcement.js';
+import {AnnouncedState, type Announcement, type Departure} from './announcement.js';
 
 /** What a backend keeper is made of. */
 export interface BackendKeeperParts {
@@ -14,11 +14,16 @@
 	readonly executor: Executor;
 	readonly gossip: Gossip;
 	readonly keeper: RevisionKeeper;
+	/** A backend server that has not announced itself for so long is taken for gone, in ms. */
+	readonly silenceLimit?: Millis;
 }
 
 const watchPeriod: Millis = 200;
-/** A backend server that has not announced itself for so long is taken for gone. */
-const silenceLimit: Millis = 4 * second;
+/** Four of the product's own announcements. */
+const defaultSilenceLimit: Millis = 4 * second;
+/** How much longer work takes while a backend server warms up. Source: the users' sheets. */
+const warmingSlowdown = 2;
+const defaultConnections = 100;
 const defaultQueue = 40;
 const defaultWarmUp: Millis = 5 * second;
 
@@ -26,6 +31,10 @@
 export class BackendKeeper {
 	private readonly lifecycle = createActor(backendMachine).start();
 	private announcement: Announcement | undefined;
+	/** The start of the backend server that last said that it drains. */
+	private drained: Departure | undefined;
+	/** The start of the backend server that last said that it has left. */
+	private departed: Departure | undefined;
 	private announcedAt: Millis = 0;
 	private startedAt: Millis = 0;
 	private isNodeDraining = false;
@@ -40,6 +49,11 @@
 		return this.lifecycle.getSnapshot().value;
 	}
 
+	/** Whether there is a backend server, draining or not. */
+	get isPresent(): boolean {
+		return this.state !== BackendState.Absent;
+	}
+
 	/** The last announcement of the backend server; undefined while there is none. */
 	get current(): Announcement | undefined {
 		return this.announcement;
@@ -54,21 +68,47 @@
 			return;
 		}
 
+		const reason = this.reasonToIgnore(announcement);
+		if (reason !== undefined) {
+			const {instance, state, sequence} = announcement;
+			this.parts.logger.log(logEvents.announcementRejected, {instance, state, sequence, reason});
+			return;
+		}
+
 		const previous = this.announcement;
 		this.announcement = announcement;
 		this.announcedAt = this.parts.clock.now();
 		const isAbsent = this.state === BackendState.Absent;
-		if (isAbsent || previous?.instance !== announcement.instance) {
+		if (isAbsent || !isSameStart(previous, announcement)) {
 			this.attach(announcement, isAbsent);
 		}
 
-		if (announcement.state === AnnouncedState.Draining) {
+		const isDraining = announcement.state === AnnouncedState.Draining;
+		if (isDraining || isSameStart(this.drained, announcement)) {
+			this.drained = announcement;
 			this.drain();
 		}
 
 		this.applyLimits();
 	}
 
+	/**
+	 * The backend server has said that it leaves.
+	 * @param departure - which start of it.
+	 */
+	depart(departure: Departure): void {
+		this.departed = departure;
+		if (isSameStart(this.announcement, departure)) {
+			this.drain();
+		}
+	}
+
+	/** How much longer than usual work takes as the backend server has just started. */
+	get warmUpSlowdown(): number {
+		const left = this.announcement?.warmUpLeft ?? 0;
+		return this.parts.clock.now() - this.announcedAt < left ? warmingSlowdown : 1;
+	}
+
 	/** The backend server refuses connections: it is gone, whatever it announced last. */
 	noteUnreachable(): void {
 		if (this.state !== BackendState.Absent) {
@@ -82,15 +122,37 @@
 		this.drain();
 	}
 
+	// Announcements travel over a network: they can come late, twice, and out of order.
+	private reasonToIgnore(announcement: Announcement): string | undefined {
+		if (isSameStart(this.departed, announcement)) {
+			return 'it has left';
+		}
+
+		const known = this.announcement;
+		if (known?.startedAt === undefined || announcement.startedAt === undefined) {
+			return undefined;
+		}
+
+		if (!isSameStart(known, announcement)) {
+			const isEarlier = announcement.startedAt < known.startedAt;
+			return isEarlier && this.state !== BackendState.Absent ? 'from an earlier start' : undefined;
+		}
+
+		const isOld = (announcement.sequence ?? 0) <= (known.sequence ?? 0);
+		return isOld ? 'out of order' : undefined;
+	}
+
 	private attach(announcement: Announcement, isAbsent: boolean): void {
-		const {address, port, service, connections, instance} = announcement;
+		const {address, port, service, instance} = announcement;
+		const policy = this.parts.keeper.inForce?.service(service);
+		const connections = announcement.connections ?? policy?.connections ?? defaultConnections;
 		const {executor, logger, clock} = this.parts;
 		this.startedAt = clock.now();
 		if (!isAbsent) {
 			executor.detach();
 		}
 
-		executor.attach({address, port}, service, connections);
+		executor.attach({endpoint: {address, port}, instance, connections}, service);
 		const type = isAbsent ? BackendEvent.Announced : BackendEvent.Restarted;
 		this.lifecycle.send({type});
 		logger.log(logEvents.backendAnnounced, {service, instance});
@@ -116,7 +178,8 @@
 	}
 
 	private watch(): void {
-		const isSilent = this.parts.clock.now() - this.announcedAt > silenceLimit;
+		const limit = this.parts.silenceLimit ?? defaultSilenceLimit;
+		const isSilent = this.parts.clock.now() - this.announcedAt > limit;
 		if (isSilent && this.state !== BackendState.Absent && !this.isNodeDraining) {
 			this.detach();
 		}
@@ -133,7 +196,8 @@
 		const policy = this.parts.keeper.inForce?.service(announcement.service);
 		const age = this.parts.clock.now() - this.startedAt;
 		const warmUp = policy?.warmUp ?? defaultWarmUp;
-		const slots = Math.min(announcement.slots, announcement.connections);
+		const connections = announcement.connections ?? policy?.connections ?? announcement.slots;
+		const slots = Math.min(announcement.slots, connections);
 		const isWarm = age >= warmUp;
 		this.parts.executor.setLimits(
 			isWarm ? slots : warmingSlots(slots, age, warmUp),
@@ -151,3 +215,7 @@
 		this.parts.gossip.pushNews(3);
 	}
 }
+
+function isSameStart(a: Departure | undefined, b: Departure): boolean {
+	return a?.instance === b.instance && a.startedAt === b.startedAt;
+}
--- a/src/node/backend-probe.ts
+++ b/src/node/backend-probe.ts
@@ -1,66 +1,100 @@
-import {request} from 'undici';
+import {Agent, request} from 'undici';
 import {TokenBucket} from '../budget/index.js';
 import {second, type Clock, type Millis} from '../clock/index.js';
 import type {RevisionKeeper} from '../declaration/index.js';
+import type {BackendProtocol} from '../executor/index.js';
 import {formatEndpoint} from '../settings/index.js';
 import type {Metrics} from '../telemetry/index.js';
 import type {BackendKeeper} from './backend-keeper.js';
 
+/** How often and how much a node probes. */
+export interface ProbeRate {
+	/** Time between two looks whether a probe is due. */
+	readonly period: Millis;
+	/** Age from which on the known speed is read anew; probes are due always where undefined. */
+	readonly speedAge: Millis | undefined;
+	/** Time that probes may take at the backend server where nothing is declared, in ms a second. */
+	readonly budget: Millis;
+}
+
 /** What a probe is made of. */
 export interface BackendProbeParts {
 	readonly clock: Clock;
 	readonly metrics: Metrics;
 	readonly backend: BackendKeeper;
 	readonly keeper: RevisionKeeper;
+	readonly protocol: BackendProtocol;
+	readonly rate: ProbeRate;
+	readonly executor: {readonly speedAge: Millis; readSpeed(slowdown: number): void};
 }
 
-const probePeriod: Millis = 2 * second;
 const probeTimeout: Millis = second;
 const budgetDepth = 10;
-const defaultBudget = 6;
+
+/** A cross-check of the product's own announcements. */
+export const crossCheckRate: ProbeRate = {period: 2 * second, speedAge: undefined, budget: 6};
 
 /**
- * Asks the health endpoint of the backend server as a cross-check: it lags and misleads, so only
- * a refused connection counts. Time spent is charged to a budget; when it is empty, probes stop.
+ * Asks the health endpoint of the backend server. Its verdict lags and misleads: a refused connection
+ * counts, and the speed that it tells. Time spent is charged to a budget; when it is empty, probes
+ * stop.
  */
 export class BackendProbe {
 	private readonly budget: TokenBucket;
+	private readonly agent = new Agent({connections: 1});
+	private isOut = false;
 
 	constructor(private readonly parts: BackendProbeParts) {
-		this.budget = new TokenBucket(parts.clock, defaultBudget, budgetDepth);
+		this.budget = new TokenBucket(parts.clock, parts.rate.budget, budgetDepth);
 	}
 
 	/** Starts probing. */
 	start(): void {
-		this.parts.clock.repeat(probePeriod, () => {
-			void this.probe();
+		this.parts.clock.repeat(this.parts.rate.period, () => {
+			if (this.isDue()) {
+				void this.probe();
+			}
 		});
 	}
 
+	private isDue(): boolean {
+		const {rate, executor} = this.parts;
+		const isOld = rate.speedAge === undefined || executor.speedAge >= rate.speedAge;
+		return isOld && !this.isOut;
+	}
+
 	private async probe(): Promise<void> {
-		const {backend, clock, keeper, metrics} = this.parts;
+		const {backend, clock, keeper, metrics, rate, protocol, executor} = this.parts;
 		const target = backend.current;
-		if (!target?.healthPath) {
+		const policy = target && keeper.inForce?.service(target.service);
+		const path = target?.healthPath === '' ? policy?.healthPath : target?.healthPath;
+		if (!target || !path || !backend.isPresent) {
 			return;
 		}
 
-		const policy = keeper.inForce?.service(target.service);
-		this.budget.setRate(policy?.probeBudget ?? defaultBudget);
+		this.budget.setRate(policy && policy.probeBudget > 0 ? policy.probeBudget : rate.budget);
 		if (this.budget.level <= 0) {
 			return;
 		}
 
 		const startedAt = clock.now();
+		this.isOut = true;
 		try {
-			const res = await request(`http://${formatEndpoint(target)}${target.healthPath}`, {
+			const res = await request(`http://${formatEndpoint(target)}${path}`, {
+				dispatcher: this.agent,
 				signal: AbortSignal.timeout(probeTimeout),
 			});
 			await res.body.dump();
+			const load = protocol.readLoad(toHeaderList(res.headers));
+			if (load) {
+				executor.readSpeed(load.slowdown);
+			}
 		} catch (err) {
 			if (isRefused(err)) {
 				backend.noteUnreachable();
 			}
 		} finally {
+			this.isOut = false;
 			const spent = clock.now() - startedAt;
 			this.budget.charge(spent);
 			metrics.probeTime.inc(spent);
@@ -68,6 +102,17 @@
 	}
 }
 
+function toHeaderList(headers: Readonly<Record<string, string | string[] | undefined>>): string[] {
+	const list: string[] = [];
+	for (const [name, value] of Object.entries(headers)) {
+		if (typeof value === 'string') {
+			list.push(name, value);
+		}
+	}
+
+	return list;
+}
+
 function isRefused(err: unknown): boolean {
 	return err instanceof Error && 'code' in err && err.code === 'ECONNREFUSED';
 }
--- /dev/null
+++ b/src/node/load-news.ts
@@ -0,0 +1,69 @@
+import {TokenBucket} from '../budget/index.js';
+import type {LoadReport} from '../call/index.js';
+import type {Clock, Millis} from '../clock/index.js';
+import type {LinkHub} from '../link/index.js';
+import {Distance, distanceBetween, type Gossip} from '../membership/index.js';
+
+/** What load news are made of. */
+export interface LoadNewsParts {
+	readonly clock: Clock;
+	readonly gossip: Gossip;
+	readonly hub: LinkHub;
+	/** @returns the load of the own backend server. */
+	report(): LoadReport;
+}
+
+/** Least time between two pushes; a burst of changes becomes one. */
+const pushPeriod: Millis = 20;
+/**
+ * Messages a second to other zones and regions, where bytes are priced. Twelve nodes with two changes
+ * of speed a second stay within them; a large deployment relies on its zone and on answers.
+ */
+const otherZoneRate = 60;
+const otherRegionRate = 30;
+/** Seconds of a rate that can be saved up. */
+const rateDepth = 1;
+
+/** Tells linked peers when the load of the own backend server has changed. */
+export class LoadNews {
+	private readonly budgets: ReadonlyMap<Distance, TokenBucket>;
+	private isScheduled = false;
+	private lastPush = Number.NEGATIVE_INFINITY;
+
+	constructor(private readonly parts: LoadNewsParts) {
+		const {clock} = parts;
+		this.budgets = new Map([
+			[Distance.SameRegion, new TokenBucket(clock, otherZoneRate, rateDepth)],
+			[Distance.OtherRegion, new TokenBucket(clock, otherRegionRate, rateDepth)],
+		]);
+	}
+
+	/** The load has changed notably. */
+	noteChanged(): void {
+		if (this.isScheduled) {
+			return;
+		}
+
+		const {clock} = this.parts;
+		const delay = Math.max(0, this.lastPush + pushPeriod - clock.now());
+		this.isScheduled = true;
+		clock.after(delay, () => {
+			this.isScheduled = false;
+			this.lastPush = clock.now();
+			this.push();
+		});
+	}
+
+	private push(): void {
+		const {gossip, hub} = this.parts;
+		hub.announceLoad(this.parts.report(), (peer) => {
+			const member = gossip.directory.get(peer.id);
+			if (!member) {
+				return false;
+			}
+
+			const budget = this.budgets.get(distanceBetween(gossip.account, member));
+			return budget?.trySpend(1) ?? true;
+		});
+	}
+}
--- a/src/operations/operator-server.ts
+++ b/src/operations/operator-server.ts
@@ -48,7 +48,7 @@
 	});
 
 	/**
-	 * @param route - method and path, as in `GET /healthz`; a path may end in `/*`.
+	 * @param route - method and path, as in `GET /healthz`; one step of a path may be `*`.
 	 * @param handler - answers requests.
 	 */
 	registerHandler(route: string, handler: OperatorHandler): void {
@@ -106,9 +106,17 @@
 			return {handler: exact, parameter: ''};
 		}
 
-		const slash = path.lastIndexOf('/');
-		const handler = this.handlers.get(`${method} ${path.slice(0, slash)}/*`);
-		return handler && {handler, parameter: decodeURIComponent(path.slice(slash + 1))};
+		// One step of the path may be a parameter.
+		const steps = path.split('/');
+		for (const [i, parameter] of steps.entries()) {
+			const pattern = steps.with(i, '*').join('/');
+			const handler = this.handlers.get(`${method} ${pattern}`);
+			if (handler && i > 0) {
+				return {handler, parameter: decodeURIComponent(parameter)};
+			}
+		}
+
+		return undefined;
 	}
 }
 
--- /dev/null
+++ b/src/routing/objective-placement.ts
@@ -0,0 +1,275 @@
+import {RefusalReason} from '../call/index.js';
+import type {Clock, Millis} from '../clock/index.js';
+import {
+	Distance,
+	distanceBetween,
+	isRoutable,
+	type Directory,
+	type Member,
+} from '../membership/index.js';
+import type {LoadReport} from '../call/index.js';
+import {CallProfiles} from './call-profiles.js';
+import {expectedLoss, expectedTime} from './expected-time.js';
+import {createView, type ExecutorView} from './executor-view.js';
+import type {AttemptNews, Placement, PlacementQuery} from './placement.js';
+
+/** What a way costs besides its time. */
+export interface WayCosts {
+	/** Per kilobyte to another availability zone, in answers of the least urgent rank. */
+	readonly otherZone: number;
+	/** Per kilobyte to another region, in answers of the least urgent rank. */
+	readonly otherRegion: number;
+}
+
+/** What a placement is made of. */
+export interface ObjectivePlacementParts {
+	readonly clock: Pick<Clock, 'now'>;
+	readonly directory: Directory;
+	readonly self: () => Member;
+	readonly costs: WayCosts;
+	/** @returns the rank of the least urgent requests. */
+	readonly lowestPriority: () => number;
+}
+
+/** Time that an attempt and its answer spend on the way, by distance, in ms. Source: the users' sheets. */
+const roundTrips: Readonly<Record<Distance, Millis>> = {
+	[Distance.SameZone]: 1,
+	[Distance.SameRegion]: 3.5,
+	[Distance.OtherRegion]: 18,
+};
+/** Bytes of head and framing of a request and its answer. */
+const overheadBytes = 700;
+const kilobyte = 1000;
+/** A report of load says little about later than this; its run time is about as long. */
+const loadMemory: Millis = 300;
+/** Slow spells last about so long. Source: the users' description of their hosts. */
+const speedMemory: Millis = 500;
+/** A failure share is believed for so long, so that a backend server that failed is tried again. */
+const failureMemory: Millis = 4000;
+/** Slowdown up to which a run time counts as one at the usual speed. */
+const usualSpeed = 1.3;
+/** Loss that an executor to avoid is given. */
+const avoidLoss = 5;
+/** Loss for each objective's length of expected time: the faster of two that are in time is taken. */
+const timeLoss = 0.03;
+/** A second attempt is weighed once the first has taken so many times longer than expected. */
+const hedgePatience = 1.6;
+const leastHedgeDelay: Millis = 30;
+/** Gain of value that a second attempt must promise, as it costs work and budget. */
+const hedgeGain = 0.35;
+/** Bounds of what a refused caller is told to wait, in ms. */
+const leastRoomDelay: Millis = 60;
+const mostRoomDelay: Millis = 1000;
+const defaultSlots = 8;
+
+type Judged = {readonly member: Member; readonly time: Millis; readonly loss: number};
+
+/**
+ * Chooses the executor at which a call loses the least: the chance that its answer is late, weighed
+ * against what the bytes of the way cost. Answers load that shifts within milliseconds: what is
+ * known of an executor's speed and load fades with its age.
+ */
+export class ObjectivePlacement implements Placement {
+	private readonly views = new Map<string, ExecutorView>();
+	private readonly profiles = new CallProfiles();
+	private usualSlowdown = 1;
+
+	constructor(private readonly parts: ObjectivePlacementParts) {}
+
+	choose(query: PlacementQuery): Member | undefined {
+		return this.best(query)?.member;
+	}
+
+	reasonForNone(query: PlacementQuery): RefusalReason {
+		for (const member of this.parts.directory.ofService(query.service)) {
+			if (isRoutable(member)) {
+				return RefusalReason.Busy;
+			}
+		}
+
+		return RefusalReason.NoBackend;
+	}
+
+	hedgeDelay(query: PlacementQuery, executor: Member): Millis | undefined {
+		const {time} = this.judge(query, executor);
+		return Math.max(leastHedgeDelay, time * hedgePatience);
+	}
+
+	isHedgeWorthwhile(query: PlacementQuery, executor: Member): boolean {
+		const other = this.best(query);
+		if (!other) {
+			return false;
+		}
+
+		return this.judge(query, executor).loss - other.loss > hedgeGain;
+	}
+
+	roomIn(query: PlacementQuery): Millis | undefined {
+		let least: Millis | undefined;
+		for (const member of this.parts.directory.ofService(query.service)) {
+			if (isRoutable(member)) {
+				const {time} = this.judge(query, member);
+				least = Math.min(least ?? time, time);
+			}
+		}
+
+		return least && Math.min(mostRoomDelay, Math.max(leastRoomDelay, least));
+	}
+
+	noteSent(_query: PlacementQuery, executor: Member): void {
+		const view = this.view(executor.id);
+		view.outstanding += 1;
+		view.sentAtSum += this.parts.clock.now();
+	}
+
+	noteEnded(query: PlacementQuery, executor: Member, news: AttemptNews): void {
+		const view = this.view(executor.id);
+		if (view.outstanding > 0) {
+			view.outstanding -= 1;
+			view.sentAtSum -= news.sentAt;
+		}
+
+		if (news.load) {
+			this.learn(query, executor, news, news.load);
+			this.noteLoad(executor.id, news.load);
+		}
+	}
+
+	/**
+	 * An executor has told its load.
+	 * @param id - the executor.
+	 * @param load - what it told.
+	 */
+	noteLoad(id: string, load: LoadReport): void {
+		if (load.slots === 0) {
+			return;
+		}
+
+		const view = this.view(id);
+		view.load = load;
+		view.reportedAt = this.parts.clock.now();
+		view.outstandingAtReport = view.outstanding;
+		this.usualSlowdown += (load.slowdown - this.usualSlowdown) * 0.01;
+	}
+
+	avoid(id: string, span: Millis): void {
+		this.view(id).avoidUntil = this.parts.clock.now() + span;
+	}
+
+	forget(id: string): void {
+		this.views.delete(id);
+	}
+
+	private learn(
+		query: PlacementQuery,
+		executor: Member,
+		news: AttemptNews,
+		load: LoadReport,
+	): void {
+		const before = this.views.get(executor.id)?.load?.slowdown ?? 1;
+		const isUsual = before <= usualSpeed && load.slowdown <= usualSpeed;
+		if (isUsual && news.answerBytes !== undefined && !news.isFailure) {
+			const way = roundTrips[distanceBetween(this.parts.self(), executor)];
+			const work = Math.max(1, this.parts.clock.now() - news.sentAt - way);
+			this.profiles.add(query.kind, work, news.answerBytes);
+		}
+	}
+
+	private best(query: PlacementQuery): Judged | undefined {
+		let best: Judged | undefined;
+		for (const member of this.parts.directory.ofService(query.service)) {
+			if (!isRoutable(member) || query.excluded.has(member.id)) {
+				continue;
+			}
+
+			const judged = this.judge(query, member);
+			if (!best || judged.loss < best.loss) {
+				best = judged;
+			}
+		}
+
+		return best;
+	}
+
+	private judge(query: PlacementQuery, member: Member): Judged {
+		const now = this.parts.clock.now();
+		const view = this.view(member.id);
+		const distance = distanceBetween(this.parts.self(), member);
+		const profile = this.profiles.of(query.kind, query.objectiveLeft);
+		const time = expectedTime({
+			work: profile.work,
+			slowdown: this.slowdownOf(view, now),
+			usualSlowdown: this.usualSlowdown,
+			load: loadOf(view, now),
+			slots: view.load?.slots ?? (member.slots > 0 ? member.slots : defaultSlots),
+			roundTrip: roundTrips[distance],
+		});
+		const {objectiveLeft, timeLeft} = query;
+		const lateness = expectedLoss({expected: time, objectiveLeft, timeLeft});
+		const bytes = overheadBytes + query.requestBytes + profile.answerBytes;
+		const loss =
+			lateness +
+			this.wayLoss(distance, bytes, query.priority) +
+			(timeLoss * time) / Math.max(1, objectiveLeft) +
+			failureLoss(view, now) +
+			(now < view.avoidUntil ? avoidLoss : 0);
+		return {member, time, loss};
+	}
+
+	private wayLoss(distance: Distance, bytes: number, priority: number): number {
+		const {costs, lowestPriority} = this.parts;
+		const value = 1 + Math.max(0, lowestPriority() - priority);
+		switch (distance) {
+			case Distance.SameZone: {
+				return 0;
+			}
+
+			case Distance.SameRegion: {
+				return (costs.otherZone * bytes) / kilobyte / value;
+			}
+
+			case Distance.OtherRegion: {
+				return (costs.otherRegion * bytes) / kilobyte / value;
+			}
+		}
+	}
+
+	private slowdownOf(view: ExecutorView, now: Millis): number {
+		if (!view.load) {
+			return this.usualSlowdown;
+		}
+
+		const trust = Math.exp(-(now - view.reportedAt) / speedMemory);
+		return this.usualSlowdown + (view.load.slowdown - this.usualSlowdown) * trust;
+	}
+
+	private view(id: string): ExecutorView {
+		let view = this.views.get(id);
+		if (!view) {
+			view = createView();
+			this.views.set(id, view);
+		}
+
+		return view;
+	}
+}
+
+// Work of other ingresses fades; an ingress need not be told of its own.
+function loadOf(view: ExecutorView, now: Millis): number {
+	if (!view.load) {
+		return view.outstanding;
+	}
+
+	const {inFlight, queued} = view.load;
+	const others = Math.max(0, inFlight + queued - view.outstandingAtReport);
+	const trust = Math.exp(-(now - view.reportedAt) / (2 * loadMemory));
+	return view.outstanding + others * (0.5 + 0.5 * trust);
+}
+
+function failureLoss(view: ExecutorView, now: Millis): number {
+	if (!view.load) {
+		return 0;
+	}
+
+	return view.load.failureShare * Math.exp(-(now - view.reportedAt) / failureMemory);
+}
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -1,2 +1,8 @@
 export {formatEndpoint, parseEndpoint, type Endpoint} from './endpoint.js';
-export {parseNodeSettings, type NodeSettings} from './node-settings.js';
+export {
+	parseNodeSettings,
+	type BackendSettings,
+	type BudgetSettings,
+	type NodeSettings,
+	type WaySettings,
+} from './node-settings.js';
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -10,6 +10,29 @@
 import {LogForm, LogLevel} from '../telemetry/index.js';
 import {parseEndpoint, type Endpoint} from './endpoint.js';
 
+/** What is known of the backend server beside the node before it announces itself. */
+export interface BackendSettings {
+	/** Its service, in whose name its calls are made; empty where unknown. */
+	readonly service: string;
+	/** Time between two of its announcements. */
+	readonly announcePeriod: Millis;
+}
+
+/** What a kilobyte costs by its way, in answers of the least urgent rank. */
+export interface WaySettings {
+	readonly otherZoneCost: number;
+	readonly otherRegionCost: number;
+}
+
+/** Further attempts that all nodes together may send to a service. */
+export interface BudgetSettings {
+	/** As a share of the requests for the service. */
+	readonly ratio: number;
+	/** Besides the share, in each window. */
+	readonly slack: number;
+	readonly window: Millis;
+}
+
 /** What a node learns from its settings file. */
 export interface NodeSettings {
 	/** IP number on which the node listens. */
@@ -20,6 +43,12 @@
 	/** TCP port of links and UDP port of gossip. */
 	readonly linkPort: number;
 	readonly operatorPort: number;
+	/** Where readiness is asked and the backend server announces itself, apart from the operators' port. */
+	readonly readinessPort: number | undefined;
+	readonly announcementPort: number | undefined;
+	readonly backend: BackendSettings;
+	readonly ways: WaySettings;
+	readonly budgets: BudgetSettings;
 	readonly region: string;
 	readonly zone: string;
 	readonly seeds: readonly Endpoint[];
@@ -32,7 +61,7 @@
 	readonly randomSeed: number | undefined;
 }
 
-const knownSections = new Set(['node', 'peers', 'store', 'log']);
+const knownSections = new Set(['node', 'peers', 'store', 'log', 'backend', 'ways', 'budgets']);
 const maxPort = 65_535;
 const minSecretLength = 8;
 const maxSeed = 2 ** 31;
@@ -60,6 +89,35 @@
 	return endpoints;
 }
 
+// For environments that assign whole addresses to what a node serves.
+function portOf(reader: SectionReader, key: string): number | undefined {
+	return readEndpoints(reader, key)[0]?.port;
+}
+
+function readBackend(reader: SectionReader): BackendSettings {
+	const announcePeriod = {min: 100, max: 60 * second, fallback: second};
+	return {
+		service: reader.text('service', ''),
+		announcePeriod: reader.duration('announce-period', announcePeriod),
+	};
+}
+
+function readWays(reader: SectionReader): WaySettings {
+	const cost = {min: 0, max: 1, fallback: 0};
+	return {
+		otherZoneCost: reader.number('other-zone-cost', cost),
+		otherRegionCost: reader.number('other-region-cost', cost),
+	};
+}
+
+function readBudgets(reader: SectionReader): BudgetSettings {
+	return {
+		ratio: reader.number('ratio', {min: 0, max: 1, fallback: 0.2}),
+		slack: reader.number('slack', {min: 0, max: 1_000_000, fallback: 10}),
+		window: reader.duration('window', {min: second, max: 60 * second, fallback: 10 * second}),
+	};
+}
+
 function readSeed(reader: SectionReader): number | undefined {
 	const seed = reader.integer('random-seed', {min: 0, max: maxSeed, fallback: 0});
 	return seed === 0 ? undefined : seed;
@@ -80,6 +138,9 @@
 	const peers = new SectionReader(document, 'peers', findings);
 	const store = new SectionReader(document, 'store', findings);
 	const log = new SectionReader(document, 'log', findings);
+	const backend = new SectionReader(document, 'backend', findings);
+	const ways = new SectionReader(document, 'ways', findings);
+	const budgets = new SectionReader(document, 'budgets', findings);
 	const port = (key: string, fallback: number) =>
 		node.integer(key, {min: 1, max: maxPort, fallback});
 	const address = readIp(node, 'address');
@@ -91,9 +152,14 @@
 	const settings: NodeSettings = {
 		address,
 		advertise: readIp(node, 'advertise', address),
-		callerPort: port('caller-port', 7000),
+		callerPort: portOf(node, 'callers') ?? port('caller-port', 7000),
 		linkPort: port('link-port', 7001),
 		operatorPort: port('operator-port', 7002),
+		readinessPort: portOf(node, 'readiness'),
+		announcementPort: portOf(node, 'announcements'),
+		backend: readBackend(backend),
+		ways: readWays(ways),
+		budgets: readBudgets(budgets),
 		region: node.text('region'),
 		zone: node.text('zone'),
 		stopTimeout: node.duration('stop-timeout', {
@@ -108,7 +174,7 @@
 		logForm: log.choice('form', Object.values(LogForm), LogForm.Json),
 		logLevel: log.choice('level', Object.values(LogLevel), LogLevel.Info),
 	};
-	for (const reader of [node, peers, store, log]) {
+	for (const reader of [node, peers, store, log, backend, ways, budgets]) {
 		reader.finish();
 	}
 
--- a/src/store/http-store.ts
+++ b/src/store/http-store.ts
@@ -32,6 +32,7 @@
 	Delete = 'delete',
 	Get = 'get',
 	Put = 'put',
+	Feed = 'feed',
 }
 
 type HttpMethod = 'GET' | 'POST' | 'PUT';
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -1,9 +1,13 @@
 export {HttpStore, StoreOperation, type HttpStoreParts} from './http-store.js';
 export {
 	Expect,
+	HistoryLostError,
 	StoreUnavailableError,
+	type ChangePage,
 	type ObjectStore,
 	type Row,
+	type RowChange,
+	type RowFeed,
 	type TableService,
 	type WriteOperation,
 	type WriteResult,
--- a/src/store/platform-store.ts
+++ b/src/store/platform-store.ts
@@ -1,3 +1,5 @@
+import type {Millis} from '../clock/index.js';
+
 /** A row of the table service. */
 export interface Row {
 	readonly key: string;
@@ -68,6 +70,45 @@
 	deleteAll(prefix: string): Promise<void>;
 }
 
+/** A change of a row in a table. */
+export interface RowChange {
+	readonly key: string;
+	/** The new value; undefined when the row was deleted. */
+	readonly value: string | undefined;
+	readonly etag: string;
+}
+
+/** Changes of a table up to a point. */
+export interface ChangePage {
+	readonly changes: readonly RowChange[];
+	/** Where the next page begins. */
+	readonly position: number;
+}
+
+/** The store no longer has the changes after the asked position; the table is to be read anew. */
+export class HistoryLostError extends Error {
+	override name = 'HistoryLostError';
+}
+
+/** Changes of the table service, pushed as they come. */
+export interface RowFeed {
+	/**
+	 * @param table - name of a table.
+	 * @returns its rows as they stand, and the position after them.
+	 * @throws {@link StoreUnavailableError}
+	 */
+	snapshot(table: string): Promise<ChangePage>;
+	/**
+	 * Waits for changes.
+	 * @param table - name of a table.
+	 * @param position - where the last page ended.
+	 * @param wait - how long to wait for a change, in ms.
+	 * @returns the changes; none when nothing changed.
+	 * @throws {@link StoreUnavailableError}, {@link HistoryLostError}
+	 */
+	changes(table: string, position: number, wait: Millis): Promise<ChangePage>;
+}
+
 /** The platform's object store. */
 export interface ObjectStore {
 	/**
--- a/src/telemetry/logger.ts
+++ b/src/telemetry/logger.ts
@@ -1,5 +1,8 @@
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
 import winston from 'winston';
-import type {LogEvent} from './log-event.js';
+import {createFileSink, LineWriter} from './line-writer.js';
+import {logEvents, type LogEvent} from './log-event.js';
 
 /** How log lines are written. */
 export enum LogForm {
@@ -19,6 +22,9 @@
 	log(event: LogEvent, details?: LogDetails): void;
 }
 
+/** How often dropped lines are told, in ms. */
+const dropReportPeriod = 1000;
+
 function humanLine(info: winston.Logform.TransformableInfo): string {
 	const {timestamp, level, message, number, event, ...details} = info;
 	const pairs = Object.entries(details).map(([name, value]) => `${name}=${String(value)}`);
@@ -28,19 +34,18 @@
 /**
  * @param form - JSON for programs, one readable line for people.
  * @param level - the least serious level that is written.
- * @returns a logger that writes to standard error.
+ * @returns a logger that writes to standard output, bounded in volume and never blocking.
  */
 export function createLogger(form: LogForm, level: string): Logger {
 	const {combine, json, printf, timestamp} = winston.format;
 	const line = form === LogForm.Json ? json() : printf(humanLine);
+	const writer = new LineWriter(createFileSink(process.stdout.fd), () => performance.now());
 	const target = winston.createLogger({
 		level,
 		format: combine(timestamp(), line),
-		transports: [
-			new winston.transports.Console({stderrLevels: ['error', 'warn', 'info', 'debug']}),
-		],
+		transports: [new winston.transports.Stream({stream: writer})],
 	});
-	return {
+	const logger: Logger = {
 		log(event, details) {
 			target.log({
 				level: event.level,
@@ -51,6 +56,13 @@
 			});
 		},
 	};
+	setInterval(() => {
+		const lines = writer.takeDropped();
+		if (lines > 0) {
+			logger.log(logEvents.logLinesDropped, {lines});
+		}
+	}, dropReportPeriod).unref();
+	return logger;
 }
 
 /** A logger that drops everything; for tests. */
--- /dev/null
+++ b/src/wiring/node-core.ts
@@ -0,0 +1,294 @@
+import {randomInt} from 'node:crypto';
+import {createActor} from 'xstate';
+import type {Clock, Millis} from '../clock/index.js';
+import {GossipSocket} from '../datagram/index.js';
+import {RevisionKeeper, type RevisionNews} from '../declaration/index.js';
+import type {AttemptRunner} from '../exchange/index.js';
+import {Executor, type BackendProtocol} from '../executor/index.js';
+import {CallRunner, type BudgetBursts} from '../ingress/index.js';
+import {LinkHub, OpenTarget, type HubHost} from '../link/index.js';
+import {
+	createSelf,
+	defaultGossipSettings,
+	Gossip,
+	isPresent,
+	type GossipHost,
+	type Held,
+	type Rumor,
+} from '../membership/index.js';
+import {BackendKeeper} from '../node/backend-keeper.js';
+import {CrashWatcher} from '../node/crash-watcher.js';
+import {LinkBudgets} from '../node/link-budgets.js';
+import {NodeEvent, nodeMachine, NodeState} from '../node/node-lifecycle.js';
+import {PauseWatch} from '../node/pause-watch.js';
+import {createRandom, type Random} from '../random/index.js';
+import type {Placement} from '../routing/index.js';
+import {formatEndpoint, type NodeSettings} from '../settings/index.js';
+import {logEvents, Metrics, type Logger} from '../telemetry/index.js';
+import {pause} from '../util/index.js';
+
+/** What differs between the kinds of node. */
+export interface CoreHooks {
+	readonly backendProtocol: BackendProtocol;
+	readonly silenceLimit: Millis | undefined;
+	/** @returns what places calls. */
+	createPlacement(core: NodeCore): Placement;
+	/** @returns what this node may save up of the budgets for further attempts. */
+	budgetBursts(): BudgetBursts;
+	/** The load of the own backend server has changed so much that others should know. */
+	loadChanged(): void;
+	hearRevisionNews(news: RevisionNews, from: string): void;
+	hearHeld(held: Held): void;
+	hearRumor(rumor: Rumor): void;
+	/** A peer tells the load of its backend server. */
+	peerLoad: HubHost['peerLoad'];
+	takeHandover: HubHost['takeHandover'];
+	/** Runs attempts that are sent to this node as the home of a key. */
+	readonly homeRunner: AttemptRunner;
+}
+
+const randomBound = 1024;
+const maxSeed = 2 ** 31;
+const gossipCheckPeriod: Millis = 50;
+const drainPollPeriod: Millis = 50;
+/** How long a peer that leaves or is silent gets no call that another one can take. */
+const peerAvoidTime: Millis = 2000;
+
+/** What every node is made of: membership, links, executor, and the runner of calls. */
+export class NodeCore {
+	readonly metrics = new Metrics();
+	readonly keeper = new RevisionKeeper();
+	readonly lifecycle = createActor(nodeMachine).start();
+	readonly random: Random;
+	readonly id: string;
+	readonly instance: string;
+	readonly gossip: Gossip;
+	readonly executor: Executor;
+	readonly backend: BackendKeeper;
+	readonly crashes: CrashWatcher;
+	readonly hub: LinkHub;
+	readonly placement: Placement;
+	readonly runner: CallRunner;
+	private readonly socket: GossipSocket;
+	private readonly budgets: LinkBudgets;
+	private readonly pauses: PauseWatch;
+
+	constructor(
+		readonly settings: NodeSettings,
+		readonly clock: Clock,
+		readonly logger: Logger,
+		private readonly hooks: CoreHooks,
+	) {
+		const {metrics, keeper} = this;
+		this.random = createRandom(settings.randomSeed ?? randomInt(maxSeed));
+		this.id = formatEndpoint({address: settings.advertise, port: settings.linkPort});
+		const incarnation = clock.wallNow() * randomBound + randomInt(randomBound);
+		this.instance = `${this.id}#${incarnation}`;
+		this.pauses = new PauseWatch(clock);
+		this.budgets = new LinkBudgets({clock, metrics, keeper, gossip: () => this.gossip});
+		this.socket = this.createSocket();
+		this.gossip = new Gossip(createSelf(this.id, incarnation, settings), {
+			settings: defaultGossipSettings,
+			clock,
+			random: this.random,
+			host: this.createGossipHost(),
+		});
+		this.crashes = this.createCrashWatcher();
+		this.executor = this.createExecutor();
+		this.backend = new BackendKeeper({
+			clock,
+			logger,
+			keeper,
+			executor: this.executor,
+			gossip: this.gossip,
+			silenceLimit: hooks.silenceLimit,
+		});
+		this.hub = this.createHub();
+		this.placement = hooks.createPlacement(this);
+		this.runner = new CallRunner({
+			clock,
+			metrics,
+			logger,
+			placement: this.placement,
+			instance: this.instance,
+			budgetBursts: () => hooks.budgetBursts(),
+			runnerTo: (executor) =>
+				executor === this.id ? this.executor : this.hub.runnerTo(executor),
+		});
+		this.watchMembers();
+	}
+
+	/** Where the node is between start and stop. */
+	get state(): NodeState {
+		return this.lifecycle.getSnapshot().value;
+	}
+
+	/** Whether the node gives calls to executors. */
+	get isTakingCalls(): boolean {
+		return this.state === NodeState.Ready || this.state === NodeState.Draining;
+	}
+
+	/** Opens the ports to the peers. */
+	async listen(): Promise<void> {
+		const {address, linkPort} = this.settings;
+		await this.hub.listen(linkPort);
+		await this.socket.bind(address, linkPort);
+	}
+
+	/** Starts the membership. */
+	startGossip(): void {
+		this.lifecycle.send({type: NodeEvent.Listening});
+		this.logger.log(logEvents.nodeStarted, {id: this.id, instance: this.instance});
+		this.clock.repeat(defaultGossipSettings.probePeriod, () => {
+			this.gossip.tick();
+		});
+		this.clock.repeat(gossipCheckPeriod, () => {
+			this.gossip.check();
+		});
+	}
+
+	/** The node knows enough to take calls. */
+	becomeReady(): void {
+		this.lifecycle.send({type: NodeEvent.Informed});
+		this.logger.log(logEvents.nodeReady, {revision: this.keeper.inForce?.revision});
+	}
+
+	/**
+	 * Waits until nothing is in flight.
+	 * @param countBusy - counts what is in flight.
+	 * @param until - monotonic time in ms at which to give up.
+	 * @returns whether everything has ended.
+	 */
+	async waitUntilIdle(countBusy: () => number, until: Millis): Promise<boolean> {
+		while (this.clock.now() < until) {
+			if (countBusy() === 0) {
+				return true;
+			}
+
+			await pause(this.clock, drainPollPeriod); // eslint-disable-line no-await-in-loop
+		}
+
+		return false;
+	}
+
+	/** Closes links and sockets. */
+	close(): void {
+		this.hub.stop();
+		this.socket.close();
+	}
+
+	private createSocket(): GossipSocket {
+		return new GossipSocket({
+			secret: this.settings.secret,
+			received: (message) => {
+				this.gossip.receive(message);
+			},
+			rejected: (reason) => {
+				this.metrics.gossipRejects.inc({reason});
+				this.logger.log(logEvents.datagramRejected, {reason});
+			},
+			sent: (to, bytes) => {
+				this.budgets.chargeControl(to, bytes);
+			},
+		});
+	}
+
+	private createGossipHost(): GossipHost {
+		return {
+			send: (to, message) => {
+				this.socket.send(to, message);
+			},
+			mayProbe: (member) => this.budgets.mayProbe(member),
+			revisionNews: () => this.keeper.heard,
+			hearRevisionNews: (news, from) => {
+				this.hooks.hearRevisionNews(news, from);
+			},
+			hearRumor: (rumor) => {
+				this.crashes.hear(rumor);
+				this.hooks.hearRumor(rumor);
+			},
+			hearHeld: (held) => {
+				this.hooks.hearHeld(held);
+			},
+			hearPause: (span) => {
+				this.logger.log(logEvents.nodePaused, {pause: Math.round(span)});
+			},
+		};
+	}
+
+	private createCrashWatcher(): CrashWatcher {
+		return new CrashWatcher({
+			clock: this.clock,
+			logger: this.logger,
+			gossip: this.gossip,
+			instance: this.instance,
+			endpoint: () => this.backend.current,
+			noteUnreachable: () => {
+				this.backend.noteUnreachable();
+			},
+		});
+	}
+
+	private createExecutor(): Executor {
+		return new Executor({
+			clock: this.clock,
+			metrics: this.metrics,
+			logger: this.logger,
+			protocol: this.hooks.backendProtocol,
+			crashWatch: this.crashes,
+			noteUnreachable: () => {
+				this.backend.noteUnreachable();
+			},
+			noteLoadChanged: () => {
+				this.hooks.loadChanged();
+			},
+		});
+	}
+
+	private createHub(): LinkHub {
+		const {region, secret, address} = this.settings;
+		const avoid = (id: string) => {
+			this.placement.avoid(id, peerAvoidTime);
+		};
+
+		return new LinkHub({
+			owner: {identity: {id: this.id, instance: this.instance, region}, secret, clock: this.clock},
+			address,
+			metrics: this.metrics,
+			logger: this.logger,
+			host: {
+				staleness: () => this.pauses.staleness(),
+				runnerFor: (target) =>
+					target === OpenTarget.Executor ? this.executor : this.hooks.homeRunner,
+				askAndFence: (peer, sequence) => this.executor.askAndFence({instance: peer, sequence}),
+				contentOf: (hash) => this.keeper.contentOf(hash),
+				takeHandover: (from, records) => {
+					this.hooks.takeHandover(from, records);
+				},
+				peerLoad: (id, load) => {
+					this.hooks.peerLoad(id, load);
+				},
+				peerLeaving: avoid,
+				peerSilent: avoid,
+			},
+		});
+	}
+
+	private watchMembers(): void {
+		this.gossip.registerListener((member, previous) => {
+			const isChanged = member.liveness !== previous?.liveness || member.phase !== previous.phase;
+			if (isChanged && member.id !== this.id) {
+				const {id, liveness, phase, service, incarnation} = member;
+				this.logger.log(logEvents.memberChanged, {id, liveness, phase, service, incarnation});
+			}
+
+			if (!isPresent(member)) {
+				this.placement.forget(member.id);
+			}
+		});
+		this.keeper.registerListener((index) => {
+			this.metrics.revision.set(index.revision);
+			this.logger.log(logEvents.revisionInForce, {revision: index.revision});
+		});
+	}
+}
--- a/src/wiring/operator-routes.ts
+++ b/src/wiring/operator-routes.ts
@@ -2,14 +2,24 @@
 import {parseAnnouncement} from '../node/announcement.js';
 import {NodeState} from '../node/node-lifecycle.js';
 import {jsonReply, textReply, type OperatorServer} from '../operations/index.js';
-import type {TurmericNode} from './turmeric-node.js';
+import type {NodeCore} from './node-core.js';
+
+/** A node as operators see it. */
+export interface OperatedNode {
+	readonly core: NodeCore;
+	readonly state: NodeState;
+	/** Whether the platform's store has answered of late; undefined without a store. */
+	readonly isStoreUp: boolean | undefined;
+	/** Idempotency keys that the node remembers; undefined where calls have none. */
+	readonly keyedCalls: {readonly size: number} | undefined;
+}
 
 /**
  * Registers what operators and the backend server may ask of a node.
  * @param server - the server on the operators' port.
  * @param node - the node.
  */
-export function registerOperatorRoutes(server: OperatorServer, node: TurmericNode): void {
+export function registerOperatorRoutes(server: OperatorServer, node: OperatedNode): void {
 	server.registerHandler('GET /healthz', () => textReply('alive\n'));
 	server.registerHandler('GET /readyz', () => {
 		const isReady = node.state === NodeState.Ready;
@@ -17,53 +27,53 @@
 	});
 	server.registerHandler('GET /metrics', async () => {
 		countMembers(node);
-		return textReply(await node.metrics.registry.metrics());
+		return textReply(await node.core.metrics.registry.metrics());
 	});
 	server.registerHandler('GET /v1/status', () => jsonReply(statusOf(node)));
 	server.registerHandler('GET /v1/members', () =>
-		jsonReply({members: [...node.gossip.directory.all()]}),
+		jsonReply({members: [...node.core.gossip.directory.all()]}),
 	);
 	server.registerHandler('POST /v1/backend', (body) => {
-		node.backend.announce(parseAnnouncement(body));
-		return jsonReply({state: node.backend.state});
+		node.core.backend.announce(parseAnnouncement(body));
+		return jsonReply({state: node.core.backend.state});
 	});
 	server.registerHandler('POST /v1/drain', () => {
-		node.backend.drainNode();
-		return jsonReply({state: node.backend.state});
+		node.core.backend.drainNode();
+		return jsonReply({state: node.core.backend.state});
 	});
-	server.registerHandler('GET /v1/holds', () => jsonReply({holds: node.crashes.holds()}));
+	server.registerHandler('GET /v1/holds', () => jsonReply({holds: node.core.crashes.holds()}));
 	server.registerHandler('DELETE /v1/holds/*', (_body, fingerprint) => {
-		node.crashes.lift(fingerprint);
+		node.core.crashes.lift(fingerprint);
 		return jsonReply({lifted: fingerprint});
 	});
 }
 
-function statusOf(node: TurmericNode) {
-	const {accepted, staged} = node.keeper.heard;
+function statusOf(node: OperatedNode) {
+	const {accepted, staged} = node.core.keeper.heard;
 	return {
-		id: node.home.id,
-		instance: node.home.instance,
+		id: node.core.id,
+		instance: node.core.instance,
 		state: node.state,
 		backend: {
-			state: node.backend.state,
-			announcement: node.backend.current,
-			load: node.executor.report(),
+			state: node.core.backend.state,
+			announcement: node.core.backend.current,
+			load: node.core.executor.report(),
 		},
 		revision: {
-			inForce: node.keeper.inForce?.revision ?? 0,
-			held: node.keeper.heldRevision,
+			inForce: node.core.keeper.inForce?.revision ?? 0,
+			held: node.core.keeper.heldRevision,
 			accepted,
 			staged,
 		},
-		members: node.gossip.directory.countPresent(),
-		keys: node.keyedCalls.size,
+		members: node.core.gossip.directory.countPresent(),
+		keys: node.keyedCalls?.size,
 		isStoreUp: node.isStoreUp,
 	};
 }
 
-function countMembers(node: TurmericNode): void {
+function countMembers(node: OperatedNode): void {
 	const counts = new Map<Liveness, number>();
-	for (const member of node.gossip.directory.all()) {
+	for (const member of node.core.gossip.directory.all()) {
 		counts.set(member.liveness, (counts.get(member.liveness) ?? 0) + 1);
 	}
 
@@ -73,6 +83,6 @@
 		[Liveness.Dead, 'dead'],
 	];
 	for (const [liveness, name] of names) {
-		node.metrics.members.set({liveness: name}, counts.get(liveness) ?? 0);
+		node.core.metrics.members.set({liveness: name}, counts.get(liveness) ?? 0);
 	}
 }
--- /dev/null
+++ b/src/wiring/routed-node.ts
@@ -0,0 +1,301 @@
+import {second, type Clock, type Millis} from '../clock/index.js';
+import {ConfigurationFeed, Roster, type ConfigurationSource} from '../control/index.js';
+import type {DeclarationIndex} from '../declaration/index.js';
+import {createUnknown} from '../exchange/index.js';
+import {RefusalReason} from '../call/index.js';
+import type {BackendProtocol} from '../executor/index.js';
+import {Ingress, type BudgetBursts, type CallerProtocol} from '../ingress/index.js';
+import {Distance, distanceBetween, isPresent, isRoutable, MemberPhase, type Member} from '../membership/index.js';
+import {BackendProbe, type ProbeRate} from '../node/backend-probe.js';
+import {LoadNews} from '../node/load-news.js';
+import {NodeEvent, NodeState} from '../node/node-lifecycle.js';
+import {OperatorServer, textReply} from '../operations/index.js';
+import {ObjectivePlacement} from '../routing/index.js';
+import type {NodeSettings} from '../settings/index.js';
+import type {RowFeed, TableService} from '../store/index.js';
+import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
+import {pause} from '../util/index.js';
+import {NodeCore, type CoreHooks} from './node-core.js';
+import {registerOperatorRoutes} from './operator-routes.js';
+
+/** What a routed node needs of the platform's store. */
+export type RoutedStore = TableService & RowFeed & {close(): void};
+
+/** How a routed node speaks to what surrounds it. */
+export interface Surroundings {
+	/**
+	 * @param metrics - counts what is asked.
+	 * @returns the client of the platform's store.
+	 */
+	createStore(metrics: Metrics): RoutedStore;
+	readonly source: ConfigurationSource;
+	readonly callerProtocol: CallerProtocol;
+	readonly backendProtocol: BackendProtocol;
+	/** Path of the question whether the node is ready, with its method. */
+	readonly readinessRoute: string;
+	/** Registers what the backend server may say of itself. */
+	registerAnnouncements(server: OperatorServer, node: RoutedNode): void;
+}
+
+const readyPollPeriod: Millis = 25;
+const farewellTime: Millis = 200;
+/** Two questions for readiness, a second apart, and the way of what was sent before the second. */
+const lingerTime: Millis = 2.6 * second;
+/** Kept back from the time to stop, for the farewell. */
+const stopReserve: Millis = 0.7 * second;
+/** A node that has its configuration waits so long for peers before it takes calls alone. */
+const peerWait: Millis = second;
+/** Announcements that may be missed before a backend server counts as gone. */
+const missedAnnouncements = 6;
+/** Speed readings a second that are wanted; answers bring most of them for nothing. */
+const speedProbes: ProbeRate = {period: 40, speedAge: 120, budget: 100};
+/** Up to so many members, each node keeps a link to every other, so that load news reach it. */
+const fullMeshMembers = 32;
+/** Connections stay open longer than callers may use them idle. */
+const idleMargin: Millis = second;
+/** Part of the budget for further attempts that goes to second attempts beside slow ones. */
+const hedgePart = 0.4;
+/** Part of the shared budget that is handed out, as nodes don't know what the others spend. */
+const budgetPart = 0.8;
+
+/** A node whose callers are routed by host and path, and whose configuration lies in the store. */
+export class RoutedNode {
+	readonly core: NodeCore;
+	readonly keyedCalls = undefined;
+	private readonly placement: ObjectivePlacement;
+	private readonly store: RoutedStore;
+	private readonly feed: ConfigurationFeed;
+	private readonly roster: Roster;
+	private readonly ingress: Ingress;
+	private readonly operators = new OperatorServer();
+	private readonly readiness = new OperatorServer();
+	private readonly announcements = new OperatorServer();
+	private readonly probe: BackendProbe;
+	private readonly news: LoadNews;
+	private informedAt: Millis | undefined;
+	private lowestPriority = 0;
+
+	constructor(
+		private readonly settings: NodeSettings,
+		private readonly clock: Clock,
+		private readonly logger: Logger,
+		private readonly surroundings: Surroundings,
+	) {
+		this.core = new NodeCore(settings, clock, logger, this.createHooks());
+		const {gossip, hub, keeper, metrics, random, executor, backend, runner} = this.core;
+		this.placement = this.core.placement as ObjectivePlacement;
+		const {source, callerProtocol, backendProtocol} = surroundings;
+		this.store = surroundings.createStore(metrics);
+		const {store} = this;
+		this.news = new LoadNews({clock, gossip, hub, report: () => executor.report()});
+		this.roster = new Roster({clock, logger, gossip, store});
+		this.feed = new ConfigurationFeed({
+			clock,
+			random,
+			logger,
+			keeper,
+			gossip,
+			hub,
+			store,
+			source,
+			isReader: () => true,
+		});
+		this.probe = new BackendProbe({
+			clock,
+			metrics,
+			keeper,
+			backend,
+			executor,
+			protocol: backendProtocol,
+			rate: speedProbes,
+		});
+		this.ingress = new Ingress({
+			clock,
+			metrics,
+			logger,
+			protocol: callerProtocol,
+			keyedCalls: undefined,
+			configuration: () => (this.core.isTakingCalls ? keeper.inForce : undefined),
+			runCall: async (call) => runner.run(call),
+		});
+		keeper.registerListener((index) => {
+			this.applyConfiguration(index);
+		});
+		gossip.registerListener((member) => {
+			this.linkTo(member);
+		});
+		registerOperatorRoutes(this.operators, this);
+		this.registerReadiness();
+		surroundings.registerAnnouncements(this.announcements, this);
+	}
+
+	/** Where the node is between start and stop. */
+	get state(): NodeState {
+		return this.core.state;
+	}
+
+	/** Whether the platform's store has answered of late. */
+	get isStoreUp(): boolean {
+		return this.feed.isStoreUp;
+	}
+
+	/** Opens the ports and joins the others. */
+	async start(): Promise<void> {
+		const {address, operatorPort, callerPort, readinessPort, announcementPort} = this.settings;
+		await this.core.listen();
+		await this.operators.listen(address, operatorPort);
+		await this.ingress.listen(address, callerPort);
+		if (readinessPort !== undefined) {
+			await this.readiness.listen(address, readinessPort);
+		}
+
+		if (announcementPort !== undefined) {
+			await this.announcements.listen(address, announcementPort);
+		}
+
+		this.core.startGossip();
+		this.feed.start();
+		this.roster.start();
+		this.probe.start();
+		this.checkReady();
+	}
+
+	/**
+	 * Stops gracefully: no request in flight is cut.
+	 * @returns whether everything in flight has ended in time.
+	 */
+	async stop(): Promise<boolean> {
+		if (this.state === NodeState.Draining || this.state === NodeState.Stopped) {
+			return true;
+		}
+
+		const {clock} = this;
+		const {lifecycle, backend, gossip, hub, executor} = this.core;
+		const until = clock.now() + this.settings.stopTimeout - stopReserve;
+		lifecycle.send({type: NodeEvent.StopAsked});
+		this.logger.log(logEvents.nodeDraining, {inFlight: this.ingress.inFlight, running: executor.busy});
+		backend.drainNode();
+		gossip.declare({phase: MemberPhase.Draining});
+		hub.announceLeaving();
+		gossip.flush();
+		this.ingress.drain();
+		await pause(clock, lingerTime);
+		// The backend server's own calls come in here as long as it works.
+		await this.core.waitUntilIdle(() => executor.busy, until);
+		this.ingress.close();
+		const isClean = await this.core.waitUntilIdle(
+			() => this.ingress.inFlight + executor.busy + hub.callsInFlight,
+			until,
+		);
+		gossip.declare({phase: MemberPhase.Left});
+		gossip.flush();
+		await pause(clock, farewellTime);
+		this.closeAll();
+		lifecycle.send({type: NodeEvent.Finished});
+		this.logger.log(isClean ? logEvents.nodeStopped : logEvents.nodeStopForced);
+		return isClean;
+	}
+
+	private createHooks(): CoreHooks {
+		const {settings} = this;
+		return {
+			backendProtocol: this.surroundings.backendProtocol,
+			silenceLimit: settings.backend.announcePeriod * missedAnnouncements,
+			createPlacement: ({clock, gossip}) =>
+				new ObjectivePlacement({
+					clock,
+					directory: gossip.directory,
+					self: () => gossip.account,
+					costs: {
+						otherZone: settings.ways.otherZoneCost,
+						otherRegion: settings.ways.otherRegionCost,
+					},
+					lowestPriority: () => this.lowestPriority,
+				}),
+			budgetBursts: () => this.budgetBursts(),
+			loadChanged: () => {
+				this.news.noteChanged();
+			},
+			hearRevisionNews: (news, from) => {
+				this.feed.hear(news, from);
+			},
+			hearHeld: () => undefined,
+			hearRumor: () => undefined,
+			peerLoad: (id, load) => {
+				this.placement.noteLoad(id, load);
+				this.core.runner.reconsider(id);
+			},
+			takeHandover: () => undefined,
+			homeRunner: {run: async () => createUnknown(RefusalReason.KeyNotChecked)},
+		};
+	}
+
+	// Each node hands out its part of the slack that all nodes together have in a window.
+	private budgetBursts(): BudgetBursts {
+		const nodes = Math.max(1, this.core.gossip.directory.countPresent());
+		const part = (this.settings.budgets.slack * budgetPart) / nodes;
+		return {retries: Math.max(1, part * (1 - hedgePart)), hedges: Math.max(1, part * hedgePart)};
+	}
+
+	private applyConfiguration(index: DeclarationIndex): void {
+		const {routes = [], callerLimits} = index.declaration;
+		this.lowestPriority = routes.reduce((most, {priority}) => Math.max(most, priority), 0);
+		if (callerLimits) {
+			this.ingress.setIdleTimeout(callerLimits.idleTimeout + idleMargin);
+		}
+	}
+
+	// One of two nodes opens the link: the other one would only open a second.
+	private linkTo(member: Member): void {
+		const {gossip, hub, id} = this.core;
+		const isNear = distanceBetween(gossip.account, member) === Distance.SameZone;
+		const isSmall = gossip.directory.size <= fullMeshMembers;
+		if (id < member.id && isRoutable(member) && (isNear || isSmall)) {
+			void hub.connect(member.id);
+		}
+	}
+
+	private registerReadiness(): void {
+		this.readiness.registerHandler(this.surroundings.readinessRoute, () => {
+			const isReady = this.state === NodeState.Ready;
+			return textReply(`${this.state}\n`, isReady ? 200 : 503);
+		});
+	}
+
+	private checkReady(): void {
+		if (this.state !== NodeState.Joining) {
+			return;
+		}
+
+		if (this.isInformed()) {
+			this.core.becomeReady();
+			return;
+		}
+
+		this.clock.after(readyPollPeriod, () => {
+			this.checkReady();
+		});
+	}
+
+	private isInformed(): boolean {
+		const {keeper, gossip} = this.core;
+		if (keeper.inForce === undefined) {
+			return false;
+		}
+
+		const now = this.clock.now();
+		this.informedAt ??= now;
+		const others = [...gossip.directory.all()].filter((member) => isPresent(member)).length - 1;
+		return others > 0 || now - this.informedAt >= peerWait;
+	}
+
+	private closeAll(): void {
+		this.feed.stop();
+		this.roster.stop();
+		this.core.close();
+		this.operators.close();
+		this.readiness.close();
+		this.announcements.close();
+		this.store.close();
+	}
+}
