Hold calls for the end of a slow spell, and ask the speed before a start

Ruled out: queueing (queues were empty), the way. Change: the executor holds a call whose work costs more in the spell than the wait for its end, refuses it at first where another executor may be fast, and asks the speed when its last reading is older than 40 ms (unsafe) or 150 ms (safe).

--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -11,6 +11,8 @@
 	readonly share: number;
 	/** Whether the call would rather be refused than wait, as it can try elsewhere. */
 	readonly isBounceable: boolean;
+	/** @returns whether it is better for the call to wait though a slot is free. */
+	isHeld?(): boolean;
 	/** The slot is the caller's own until it is released. */
 	start(): void;
 	/**
@@ -70,7 +72,7 @@
 		const reason = this.refusalFor(ticket);
 		if (reason !== undefined) {
 			ticket.refuse(reason);
-		} else if (this.running.size < this.limits.slots) {
+		} else if (this.running.size < this.limits.slots && !isHeld(ticket)) {
 			this.begin(ticket);
 		} else {
 			this.enqueue(ticket);
@@ -147,12 +149,14 @@
 			return RefusalReason.DeadlinePassed;
 		}
 
-		if (this.running.size < this.limits.slots) {
+		const isFull = this.running.size >= this.limits.slots;
+		const mustWait = isFull || isHeld(ticket);
+		if (!mustWait) {
 			return undefined;
 		}
 
 		if (ticket.isBounceable) {
-			return RefusalReason.Busy;
+			return isFull ? RefusalReason.Busy : RefusalReason.BackendSlow;
 		}
 
 		if (this.isOverShare(ticket, ticket)) {
@@ -245,19 +249,32 @@
 		this.use(ticket).queued += 1;
 	}
 
-	private fill(): void {
+	/** Starts what may start; called when the backend server has become fast again. */
+	fill(): void {
 		this.sweep();
-		while (this.queue.length > 0 && this.running.size < this.limits.slots) {
+		while (this.running.size < this.limits.slots) {
 			const ticket = this.nextTicket();
+			if (!ticket) {
+				return;
+			}
+
 			this.withdraw(ticket);
 			this.begin(ticket);
 		}
 	}
 
-	private nextTicket(): Ticket {
-		let best = this.queue[0];
-		invariant(best !== undefined, 'the next ticket is taken from a queue that is not empty');
+	private nextTicket(): Ticket | undefined {
+		let best: Ticket | undefined;
 		for (const ticket of this.queue) {
+			if (isHeld(ticket)) {
+				continue;
+			}
+
+			if (!best) {
+				best = ticket;
+				continue;
+			}
+
 			const byShare = this.pressure(ticket) - this.pressure(best);
 			if (byShare < 0 || (byShare === 0 && this.compare(ticket, best) < 0)) {
 				best = ticket;
@@ -292,3 +309,7 @@
 		}
 	}
 }
+
+function isHeld(ticket: Ticket): boolean {
+	return ticket.isHeld?.() ?? false;
+}
--- a/src/backend/backend-speed.ts
+++ b/src/backend/backend-speed.ts
@@ -7,16 +7,30 @@
 /** Bounds of what is believed; a reading outside is cut. */
 const minSlowdown = 0.1;
 const maxSlowdown = 50;
+/** Slowdown from which on a backend server counts as being in a slow spell. */
+const slowSpell = 2;
+/** Length of a slow spell before one was seen. Source: the users' description of their hosts. */
+const defaultSpell: Millis = 500;
+const spellWeight = 0.1;
+/** A spell that seems longer was not watched all along. */
+const longestSpell: Millis = 5000;
 
 /** How fast a backend server works at this moment, from readings that grow old within half a second. */
 export class BackendSpeed {
 	private last = 1;
 	private mean = 1;
 	private readAt: Millis | undefined;
+	private slowSince: Millis | undefined;
+	private spellLength = defaultSpell;
 
-	/** Slowdown over the long run. */
-	get usual(): number {
-		return this.mean;
+	/** Whether the last reading was in a slow spell. */
+	get isSlow(): boolean {
+		return this.last >= slowSpell;
+	}
+
+	/** The last reading. */
+	get lastSlowdown(): number {
+		return this.last;
 	}
 
 	/**
@@ -27,6 +41,18 @@
 		this.last = Math.min(maxSlowdown, Math.max(minSlowdown, slowdown));
 		this.mean += (this.last - this.mean) * meanWeight;
 		this.readAt = now;
+		if (this.isSlow) {
+			this.slowSince ??= now;
+		} else if (this.slowSince !== undefined) {
+			const length = Math.min(longestSpell, now - this.slowSince);
+			this.spellLength += (length - this.spellLength) * spellWeight;
+			this.slowSince = undefined;
+		}
+	}
+
+	/** @returns how long a slow spell still lasts on the mean, in ms. */
+	spellLeft(): Millis {
+		return this.spellLength / 2;
 	}
 
 	/**
--- /dev/null
+++ b/src/backend/pacing.ts
@@ -0,0 +1,22 @@
+import type {Millis} from '../clock/index.js';
+
+/** What the start of a call at a slow backend server depends on. */
+export interface PacingParts {
+	/** Time that the call takes at the usual speed, in ms. */
+	readonly work: Millis;
+	/** How many times longer than usual work takes now. */
+	readonly slowdown: number;
+	/** How long the slow spell still lasts on the mean, in ms. */
+	readonly spellLeft: Millis;
+}
+
+/**
+ * A call keeps the speed at which it starts: one that starts in a slow spell ends later than one that
+ * waits for its end, unless it is short. Answers load on hosts with noisy neighbours, where starting
+ * everything at once costs most of the capacity.
+ * @param parts - what it depends on.
+ * @returns whether the call should wait for the end of the spell.
+ */
+export function isWorthHolding({work, slowdown, spellLeft}: PacingParts): boolean {
+	return work * (slowdown - 1) > spellLeft;
+}
--- a/src/claims/__tests__/unit/keyed-calls.test.ts
+++ b/src/claims/__tests__/unit/keyed-calls.test.ts
@@ -155,6 +155,7 @@
 			index,
 			deadline: new Deadline(this.clock.now() + 1000),
 			objective: new Deadline(this.clock.now() + 1000),
+			objectiveSpan: 1000,
 			body: createWholeBody(new Uint8Array()),
 			cancellation: new Cancellation(),
 		};
--- a/src/claims/key-homes.ts
+++ b/src/claims/key-homes.ts
@@ -68,7 +68,18 @@
 		const {head, deadline, objective, body} = attempt;
 		// The call goes on when the other node is lost, as its caller will send it again.
 		const cancellation = new Cancellation();
-		return {head, policy, service, index, deadline, objective, body, cancellation};
+		const objectiveSpan = policy.deadline;
+		return {
+			head,
+			policy,
+			service,
+			index,
+			deadline,
+			objective,
+			objectiveSpan,
+			body,
+			cancellation,
+		};
 	}
 
 	/**
--- a/src/exchange/call.ts
+++ b/src/exchange/call.ts
@@ -14,6 +14,8 @@
 	readonly deadline: Deadline;
 	/** When the answer is late, though its caller still waits. */
 	readonly objective: Deadline;
+	/** How long an answer is in time, in ms. */
+	readonly objectiveSpan: Millis;
 	readonly body: Body;
 	readonly cancellation: Cancellation;
 }
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -1,4 +1,4 @@
-import {Admission, BackendSpeed, type Ticket} from '../backend/index.js';
+import {Admission, BackendSpeed, isWorthHolding, type Ticket} from '../backend/index.js';
 import {
 	AttemptLedger,
 	RefusalReason,
@@ -14,6 +14,7 @@
 	type AttemptResult,
 	type AttemptRunner,
 } from '../exchange/index.js';
+import {CallProfiles} from '../routing/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 import {withResolvers} from '../util/index.js';
 import type {BackendCallEnd} from './backend-call.js';
@@ -47,6 +48,11 @@
 	noteUnreachable(): void;
 	/** The load has changed so much that others should know. */
 	noteLoadChanged(): void;
+	/**
+	 * Asks the backend server how fast it works now, where it can tell.
+	 * @returns when it has told, or will not in time.
+	 */
+	probeSpeed(): Promise<void>;
 }
 
 type Target = {client: BackendClient; service: string; instance: string};
@@ -54,6 +60,14 @@
 
 const sweepPeriod: Millis = 10;
 const expiryPeriod: Millis = 1000;
+/** Age from which on a reading of the speed is too old for a call that cannot be moved once it runs. */
+const unsafeFreshness: Millis = 40;
+/** The same for calls that can get a second attempt elsewhere. */
+const safeFreshness: Millis = 150;
+/** The same while calls are held for the end of a slow spell. */
+const heldFreshness: Millis = 40;
+/** Run times that are taken as samples: those at the usual speed. */
+const usualSpeed = 1.3;
 /** Factor between two speeds from which on a change is worth a message to the callers' nodes. */
 const notableChange = 1.5;
 
@@ -62,6 +76,7 @@
 	private readonly ledger = new AttemptLedger();
 	private readonly admission: Admission;
 	private readonly speed = new BackendSpeed();
+	private readonly profiles = new CallProfiles();
 	private readonly inFlight = new Map<Attempt, Running>();
 	private target: Target | undefined;
 	private isDraining = false;
@@ -158,6 +173,19 @@
 			return createRefused(reason);
 		}
 
+		if (this.speedAge > freshness(attempt)) {
+			await this.parts.probeSpeed();
+		}
+
+		return this.enterQueue(attempt);
+	}
+
+	private async enterQueue(attempt: Attempt): Promise<AttemptResult> {
+		const reason = this.refusalFor(attempt);
+		if (reason !== undefined) {
+			return createRefused(reason);
+		}
+
 		const {promise, resolve} = withResolvers<AttemptResult>();
 		const askedAt = this.parts.clock.now();
 		const ticket: Ticket = {
@@ -167,6 +195,7 @@
 			share: attempt.share,
 			deadline: attempt.deadline,
 			isBounceable: attempt.isBounceable,
+			isHeld: () => this.isHeld(attempt),
 			start: () => {
 				const waited = this.parts.clock.now() - askedAt;
 				void this.send(attempt, ticket, waited).then(resolve);
@@ -195,10 +224,29 @@
 		this.parts.clock.after(sweepPeriod, () => {
 			this.isSweeping = false;
 			this.admission.sweep();
+			this.watchSpell();
 			this.sweepLater();
 		});
 	}
 
+	// Calls that are held need to know at once when the spell has ended.
+	private watchSpell(): void {
+		if (this.speed.isSlow && this.speedAge > heldFreshness) {
+			void this.parts.probeSpeed();
+		}
+	}
+
+	private isHeld(attempt: Attempt): boolean {
+		if (!this.speed.isSlow) {
+			return false;
+		}
+
+		const {route} = attempt.head.origin;
+		const {work} = this.profiles.of(route, attempt.objective.timeLeft(this.parts.clock.now()));
+		const {lastSlowdown: slowdown} = this.speed;
+		return isWorthHolding({work, slowdown, spellLeft: this.speed.spellLeft()});
+	}
+
 	private refusalFor(attempt: Attempt): RefusalReason | undefined {
 		if (this.isDraining) {
 			return RefusalReason.Draining;
@@ -285,6 +333,7 @@
 		}
 
 		const {ticket} = running;
+		this.learn(attempt, running, isFailure);
 		this.logEnded(attempt, running, isFailure, isBroken);
 
 		if (isBroken) {
@@ -307,6 +356,7 @@
 		const now = this.parts.clock.now();
 		const before = this.speed.slowdown(now);
 		this.speed.read(slowdown, now);
+		this.admission.fill();
 		if (Math.max(before / slowdown, slowdown / before) > notableChange) {
 			this.parts.noteLoadChanged();
 		}
@@ -317,6 +367,14 @@
 		return this.speed.age(this.parts.clock.now());
 	}
 
+	private learn(attempt: Attempt, running: Running, isFailure: boolean): void {
+		const isWhole = !isFailure && !attempt.cancellation.isCanceled;
+		if (isWhole && running.slowdown <= usualSpeed) {
+			const ran = this.parts.clock.now() - running.startedAt;
+			this.profiles.add(attempt.head.origin.route, ran, 0);
+		}
+	}
+
 	private logEnded(attempt: Attempt, running: Running, isFailure: boolean, isBroken: boolean): void {
 		const now = this.parts.clock.now();
 		this.parts.logger.log(logEvents.attemptEnded, {
@@ -336,6 +394,10 @@
 	}
 }
 
+function freshness(attempt: Attempt): Millis {
+	return attempt.head.isIdempotent ? safeFreshness : unsafeFreshness;
+}
+
 /** Shares of the slots at which a backend server counts as half full, crowded, full, overfull. */
 const levels = [0.5, 0.8, 1, 1.5];
 
--- a/src/ingress/__tests__/unit/call-runner.test.ts
+++ b/src/ingress/__tests__/unit/call-runner.test.ts
@@ -108,6 +108,7 @@
 		index,
 		deadline: new Deadline(2000),
 		objective: new Deadline(2000),
+		objectiveSpan: 1000,
 		body: createWholeBody(new Uint8Array()),
 		cancellation: new Cancellation(),
 	};
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -42,6 +42,7 @@
 	arrivals: number;
 	broken: number;
 	bounces: number;
+	hedges: number;
 	executor: string | undefined;
 	/** How an earlier attempt ended that may have run. */
 	maybeRun: AttemptResult | undefined;
@@ -51,7 +52,13 @@
 };
 
 /** An idempotent call whose attempt is out, and that a second attempt may join. */
-type Watched = {call: Call; progress: Progress; executor: Member; race: HedgeRace};
+type Watched = {
+	call: Call;
+	progress: Progress;
+	executor: Member;
+	race: HedgeRace;
+	sentAt: Millis;
+};
 
 /** Refusals that say nothing of the load, and so cost no retry budget; the tried set bounds them. */
 const freeRetries: ReadonlySet<RefusalReason> = new Set([
@@ -96,6 +103,7 @@
 			arrivals: 0,
 			broken: 0,
 			bounces: 0,
+			hedges: 0,
 			executor: undefined,
 			maybeRun: undefined,
 			failure: undefined,
@@ -180,6 +188,7 @@
 			priority: head.origin.priority,
 			isIdempotent: head.isIdempotent,
 			timeLeft: deadline.timeLeft(now),
+			objective: call.objectiveSpan,
 			objectiveLeft: objective.timeLeft(now),
 			requestBytes: body.bytes?.length ?? 0,
 			excluded: progress.tried,
@@ -209,7 +218,8 @@
 		}
 
 		const race = new HedgeRace(first);
-		const watched: Watched = {call, progress, executor, race};
+		const sentAt = this.parts.clock.now();
+		const watched: Watched = {call, progress, executor, race, sentAt};
 		const undo = this.watch(watched);
 		const result = await race.result;
 		undo();
@@ -237,17 +247,17 @@
 		};
 	}
 
-	private tryHedge({call, progress, executor, race}: Watched): void {
+	private tryHedge({call, progress, executor, race, sentAt}: Watched): void {
 		const {clock, placement, metrics, logger} = this.parts;
 		const isOver = call.cancellation.isCanceled || call.deadline.isPast(clock.now());
-		const isSpent = progress.arrivals + 1 >= call.policy.maxAttempts || progress.attempts > 1;
+		const isSpent = progress.arrivals + 1 >= call.policy.maxAttempts || progress.hedges > 0;
 		if (isOver || isSpent || !race.isOpen) {
 			return;
 		}
 
 		const query = this.query(call, progress);
 		const other = placement.choose(query);
-		if (!other || !placement.isHedgeWorthwhile(query, executor)) {
+		if (!other || !placement.isHedgeWorthwhile(query, executor, clock.now() - sentAt)) {
 			return;
 		}
 
@@ -256,6 +266,7 @@
 		}
 
 		progress.arrivals += 1;
+		progress.hedges += 1;
 		metrics.retries.inc({reason: RetryReason.Hedge});
 		logger.log(logEvents.callHedged, {
 			request: call.head.origin.requestId,
@@ -371,7 +382,7 @@
 			return false;
 		}
 
-		if (reason === RefusalReason.Busy) {
+		if (reason === RefusalReason.Busy || reason === RefusalReason.BackendSlow) {
 			progress.bounces += 1;
 			if (progress.bounces >= maxBounces) {
 				// The next attempt waits where it is sent; all executors are open to it again.
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -200,6 +200,7 @@
 			index,
 			deadline: Deadline.in(startedAt, timeout),
 			objective: Deadline.in(startedAt, objective),
+			objectiveSpan: objective,
 			body,
 			cancellation,
 		};
--- a/src/node/backend-probe.ts
+++ b/src/node/backend-probe.ts
@@ -5,6 +5,7 @@
 import type {BackendProtocol} from '../executor/index.js';
 import {formatEndpoint} from '../settings/index.js';
 import type {Metrics} from '../telemetry/index.js';
+import {pause} from '../util/index.js';
 import type {BackendKeeper} from './backend-keeper.js';
 
 /** How often and how much a node probes. */
@@ -29,7 +30,11 @@
 }
 
 const probeTimeout: Millis = second;
+/** How long a call waits for the speed; a probe takes about 6 ms. Source: the users' sheets. */
+const patience: Millis = 12;
 const budgetDepth = 10;
+/** How long calls go on without a probe after one that told no speed. */
+const muteTime: Millis = second;
 
 /** A cross-check of the product's own announcements. */
 export const crossCheckRate: ProbeRate = {period: 2 * second, speedAge: undefined, budget: 6};
@@ -42,7 +47,9 @@
 export class BackendProbe {
 	private readonly budget: TokenBucket;
 	private readonly agent = new Agent({connections: 1});
-	private isOut = false;
+	private out: Promise<void> | undefined;
+	/** Until then the backend server is not asked by calls, as it did not tell its speed. */
+	private muteUntil: Millis = 0;
 
 	constructor(private readonly parts: BackendProbeParts) {
 		this.budget = new TokenBucket(parts.clock, parts.rate.budget, budgetDepth);
@@ -52,15 +59,31 @@
 	start(): void {
 		this.parts.clock.repeat(this.parts.rate.period, () => {
 			if (this.isDue()) {
-				void this.probe();
+				void this.probeNow();
 			}
 		});
 	}
 
+	/** Probes, or waits for the probe that is out; for a short time, as calls wait for it. */
+	async probeNow(): Promise<void> {
+		if (this.parts.clock.now() < this.muteUntil) {
+			return;
+		}
+
+		if (!this.out) {
+			this.out = this.probe();
+			void this.out.then(() => {
+				this.out = undefined;
+			});
+		}
+
+		await Promise.race([this.out, pause(this.parts.clock, patience)]);
+	}
+
 	private isDue(): boolean {
 		const {rate, executor} = this.parts;
 		const isOld = rate.speedAge === undefined || executor.speedAge >= rate.speedAge;
-		return isOld && !this.isOut;
+		return isOld && !this.out;
 	}
 
 	private async probe(): Promise<void> {
@@ -78,7 +101,6 @@
 		}
 
 		const startedAt = clock.now();
-		this.isOut = true;
 		try {
 			const res = await request(`http://${formatEndpoint(target)}${path}`, {
 				dispatcher: this.agent,
@@ -88,13 +110,15 @@
 			const load = protocol.readLoad(toHeaderList(res.headers));
 			if (load) {
 				executor.readSpeed(load.slowdown);
+			} else {
+				this.muteUntil = clock.now() + muteTime;
 			}
 		} catch (err) {
+			this.muteUntil = clock.now() + muteTime;
 			if (isRefused(err)) {
 				backend.noteUnreachable();
 			}
 		} finally {
-			this.isOut = false;
 			const spent = clock.now() - startedAt;
 			this.budget.charge(spent);
 			metrics.probeTime.inc(spent);
--- a/src/routing/expected-time.ts
+++ b/src/routing/expected-time.ts
@@ -6,8 +6,6 @@
 	readonly work: Millis;
 	/** How many times longer than usual work takes there now. */
 	readonly slowdown: number;
-	/** Slowdown over the long run. */
-	readonly usualSlowdown: number;
 	/** Calls that run or wait there. */
 	readonly load: number;
 	readonly slots: number;
@@ -16,30 +14,21 @@
 }
 
 /** What is left of a slow spell on the mean. Source: spells of about half a second on shared hosts. */
-const spellLeft: Millis = 250;
+const spellLeft: Millis = 300;
 /** Share of busy slots from which on calls slow each other down. Source: the users' sheets. */
 const crowdedShare = 0.8;
 /** How much longer calls take on a crowded backend server. Source: between 1 and 1.7 on the sheets. */
 const crowdedSlowdown = 1.2;
 
-// A slow spell ends: what is left of the work then goes on at the usual speed.
-function runTime(work: Millis, slowdown: number, usual: number): Millis {
-	const atThisSpeed = work * slowdown;
-	if (atThisSpeed <= spellLeft || slowdown <= usual) {
-		return atThisSpeed;
-	}
-
-	return spellLeft + Math.max(0, work - spellLeft / slowdown) * usual;
-}
-
 /**
  * @param parts - what the time depends on.
- * @returns time until the answer is here, in ms.
+ * @returns time until the answer is here, in ms; the executor holds a call for the end of a slow
+ * spell where that is faster.
  */
 export function expectedTime(parts: ExpectedTimeParts): Millis {
-	const {work, slowdown, usualSlowdown, load, slots, roundTrip} = parts;
+	const {work, slowdown, load, slots, roundTrip} = parts;
 	const isCrowded = (load + 1) / slots > crowdedShare;
-	const run = runTime(work, slowdown, usualSlowdown) * (isCrowded ? crowdedSlowdown : 1);
+	const run = Math.min(work * slowdown, spellLeft + work) * (isCrowded ? crowdedSlowdown : 1);
 	const ahead = Math.max(0, load + 1 - slots);
 	return roundTrip + run + (ahead / slots) * run;
 }
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -7,6 +7,7 @@
 export {findCandidates, isOtherRegionNeeded, type Candidates} from './candidates.js';
 export type {AttemptNews, Placement, PlacementQuery} from './placement.js';
 export {ObjectivePlacement, type ObjectivePlacementParts, type WayCosts} from './objective-placement.js';
+export {CallProfiles, type CallProfile} from './call-profiles.js';
 export {WeightedSplit} from './weighted-split.js';
 export {ExpectedWaitPolicy} from './expected-wait-policy.js';
 export type {RoutingPolicy, RoutingQuery} from './routing-policy.js';
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -53,7 +53,9 @@
 /** Loss for each objective's length of expected time: the faster of two that are in time is taken. */
 const timeLoss = 0.03;
 /** A second attempt is weighed once the first has taken so many times longer than expected. */
-const hedgePatience = 1.6;
+const hedgePatience = 1.5;
+/** How many times longer work takes in a slow spell. Source: the users' sheets. */
+const slowSpell = 7;
 const leastHedgeDelay: Millis = 30;
 /** Gain of value that a second attempt must promise, as it costs work and budget. */
 const hedgeGain = 0.35;
@@ -95,13 +97,23 @@
 		return Math.max(leastHedgeDelay, time * hedgePatience);
 	}
 
-	isHedgeWorthwhile(query: PlacementQuery, executor: Member): boolean {
+	// An attempt that takes longer than expected has most likely started in a slow spell.
+	isHedgeWorthwhile(query: PlacementQuery, _executor: Member, elapsed: Millis): boolean {
 		const other = this.best(query);
 		if (!other) {
 			return false;
 		}
 
-		return this.judge(query, executor).loss - other.loss > hedgeGain;
+		const {work} = this.profiles.of(query.kind, query.objective);
+		const isOverdue = elapsed > work * hedgePatience;
+		if (!isOverdue) {
+			return false;
+		}
+
+		const {objectiveLeft, timeLeft} = query;
+		const expected = Math.max(work, work * slowSpell - elapsed);
+		const loss = expectedLoss({expected, objectiveLeft, timeLeft});
+		return loss - other.loss > hedgeGain;
 	}
 
 	roomIn(query: PlacementQuery): Millis | undefined {
@@ -195,11 +207,10 @@
 		const now = this.parts.clock.now();
 		const view = this.view(member.id);
 		const distance = distanceBetween(this.parts.self(), member);
-		const profile = this.profiles.of(query.kind, query.objectiveLeft);
+		const profile = this.profiles.of(query.kind, query.objective);
 		const time = expectedTime({
 			work: profile.work,
 			slowdown: this.slowdownOf(view, now),
-			usualSlowdown: this.usualSlowdown,
 			load: loadOf(view, now),
 			slots: view.load?.slots ?? (member.slots > 0 ? member.slots : defaultSlots),
 			roundTrip: roundTrips[distance],
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -12,6 +12,8 @@
 	readonly isIdempotent: boolean;
 	/** How long the caller still waits, in ms. */
 	readonly timeLeft: Millis;
+	/** How long an answer to such a call is in time, in ms. */
+	readonly objective: Millis;
 	/** How long an answer is still in time, in ms. */
 	readonly objectiveLeft: Millis;
 	readonly requestBytes: number;
@@ -51,9 +53,10 @@
 	/**
 	 * @param query - a call whose attempt is out.
 	 * @param executor - where it is.
+	 * @param elapsed - how long it has been there, in ms.
 	 * @returns whether a second attempt is expected to answer in time where the first is not.
 	 */
-	isHedgeWorthwhile(query: PlacementQuery, executor: Member): boolean;
+	isHedgeWorthwhile(query: PlacementQuery, executor: Member, elapsed: Millis): boolean;
 	/**
 	 * @param query - a call that cannot be served now.
 	 * @returns when there will be room, in ms from now; undefined when nothing is known of that.
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -35,6 +35,8 @@
 	createPlacement(core: NodeCore): Placement;
 	/** @returns what this node may save up of the budgets for further attempts. */
 	budgetBursts(): BudgetBursts;
+	/** Asks the own backend server how fast it works. */
+	probeSpeed(): Promise<void>;
 	/** The load of the own backend server has changed so much that others should know. */
 	loadChanged(): void;
 	hearRevisionNews(news: RevisionNews, from: string): void;
@@ -239,6 +241,7 @@
 			noteUnreachable: () => {
 				this.backend.noteUnreachable();
 			},
+			probeSpeed: async () => this.hooks.probeSpeed(),
 			noteLoadChanged: () => {
 				this.hooks.loadChanged();
 			},
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -48,7 +48,7 @@
 /** Announcements that may be missed before a backend server counts as gone. */
 const missedAnnouncements = 6;
 /** Speed readings a second that are wanted; answers bring most of them for nothing. */
-const speedProbes: ProbeRate = {period: 40, speedAge: 120, budget: 100};
+const speedProbes: ProbeRate = {period: 100, speedAge: 200, budget: 150};
 /** Up to so many members, each node keeps a link to every other, so that load news reach it. */
 const fullMeshMembers = 32;
 /** Connections stay open longer than callers may use them idle. */
@@ -213,6 +213,7 @@
 					lowestPriority: () => this.lowestPriority,
 				}),
 			budgetBursts: () => this.budgetBursts(),
+			probeSpeed: async () => this.probe.probeNow(),
 			loadChanged: () => {
 				this.news.noteChanged();
 			},
--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -156,6 +156,8 @@
 				return new NearestFirstPlacement({clock, gossip, routing, keeper});
 			},
 			budgetBursts: () => budgetBursts,
+			// The product's own backend servers don't tell their speed.
+			probeSpeed: async () => undefined,
 			loadChanged: () => undefined,
 			hearRevisionNews: (news, from) => {
 				this.revisions.hear(news, from);
