Test the platform's decoders, announcements out of order, held calls and split weights; one store client

The product's own store client gives way to the platform's, behind a guard that refuses at once while the store is away; the stand-in store speaks the published protocol.

--- a/scaffold/stand-ins/platform-store.ts
+++ b/scaffold/stand-ins/platform-store.ts
@@ -1,7 +1,7 @@
-/** Stand-in for the platform's table service and object store; keeps everything in memory. */
+/** Stand-in for the platform's store: its published protocol, everything in memory. */
+import {Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import process from 'node:process';
-import {Expect, type Row, type WriteOperation, type WriteResult} from '../../src/store/index.js';
 
 interface Faults {
 	/** The store closes every connection. */
@@ -10,121 +10,214 @@
 	delay: number;
 	/** Answers to writes that are lost after the write has taken effect. */
 	lostAnswers: number;
+	/** Addresses of machines that are turned away with 503. */
+	refused: readonly string[];
+	/** The store has just dropped its history. */
+	isHistoryLost: boolean;
+}
+
+interface RowAddress {
+	readonly table: string;
+	readonly part: string;
+	readonly key: string;
+}
+
+interface Row extends RowAddress {
+	readonly value: string;
+	readonly schema_version: number;
+	readonly tombstone?: boolean;
+}
+
+interface Transaction {
+	readonly expect?: ReadonlyArray<RowAddress & {readonly schema_version: number}>;
+	readonly put_entries?: ReadonlyArray<RowAddress & {readonly value: string}>;
+	readonly removals?: readonly RowAddress[];
+}
+
+interface Answer {
+	readonly status: number;
+	readonly body: unknown;
+	readonly isWrite?: boolean;
+}
+
+interface Waiter {
+	readonly table: string;
+	readonly after: number;
+	answer(): void;
 }
 
 const rows = new Map<string, Row>();
-const objects = new Map<string, string>();
-const faults: Faults = {isDown: false, delay: 0, lostAnswers: 0};
+const history: Row[] = [];
+const blobs = new Map<string, string>();
+const waiters = new Set<Waiter>();
+const faults: Faults = {
+	isDown: false,
+	delay: 0,
+	lostAnswers: 0,
+	refused: [],
+	isHistoryLost: false,
+};
 const counts = {reads: 0, writes: 0};
-let nextEtag = 1;
-
-function blockingRow(operation: WriteOperation): Row | undefined {
-	const row = rows.get(operation.key);
-	const isMet =
-		operation.expect === Expect.Any ||
-		(operation.expect === Expect.Absent && !row) ||
-		(operation.expect === Expect.Etag && row?.etag === operation.etag);
+const pageRows = 500;
+let version = 0;
+let historyStart = 0;
+
+function idOf({table, part, key}: RowAddress): string {
+	return [table, part, key].join('\n');
+}
+
+function stamp() {
+	return {schema_version: version, now_ms: Math.round(performance.now())};
+}
+
+function commit({expect = [], put_entries: puts = [], removals = []}: Transaction): Answer {
+	const isMet = expect.every(
+		(item) => (rows.get(idOf(item))?.schema_version ?? 0) === item.schema_version,
+	);
 	if (!isMet) {
-		return row ?? {key: operation.key, value: '', etag: ''};
+		const current = expect.map((item) => rows.get(idOf(item))).filter((row) => row !== undefined);
+		return {status: 412, body: {rows: current, ...stamp()}};
 	}
 
-	const other = operation.alsoAbsent?.find((key) => rows.has(key));
-	return other === undefined ? undefined : rows.get(other);
-}
+	version += 1;
+	for (const {table, part, key, value} of puts) {
+		const row = {table, part, key, value, schema_version: version};
+		rows.set(idOf(row), row);
+		history.push(row);
+	}
 
-function apply(operation: WriteOperation): WriteResult {
-	const blocking = blockingRow(operation);
-	if (blocking) {
-		return {isApplied: false, row: blocking};
+	for (const {table, part, key} of removals) {
+		const address = {table, part, key};
+		rows.delete(idOf(address));
+		history.push({...address, value: '', schema_version: version, tombstone: true});
 	}
 
-	const {key, value} = operation;
-	if (value === undefined) {
-		rows.delete(key);
-		return {isApplied: true, row: undefined};
+	for (const waiter of waiters) {
+		waiter.answer();
 	}
 
-	const row = {key, value, etag: String(nextEtag)};
-	nextEtag += 1;
-	rows.set(key, row);
-	return {isApplied: true, row};
+	return {status: 200, body: stamp(), isWrite: true};
 }
 
-function list(prefix: string): Row[] {
-	const found = [...rows.values()].filter((row) => row.key.startsWith(prefix));
-	return found.toSorted((a, b) => (a.key < b.key ? -1 : 1));
+function getRows(query: URLSearchParams): Answer {
+	const from = query.get('from') ?? '';
+	const to = query.get('to');
+	const limit = Math.min(pageRows, Number(query.get('limit') ?? pageRows));
+	const found = [...rows.values()]
+		.filter(
+			(row) =>
+				row.table === query.get('table') &&
+				row.part === (query.get('part') ?? '') &&
+				row.key >= from &&
+				(to === null || row.key < to),
+		)
+		.toSorted((a, b) => (a.key < b.key ? -1 : 1));
+	return {
+		status: 200,
+		body: {rows: found.slice(0, limit), has_more: found.length > limit, ...stamp()},
+	};
 }
 
-function deleteAll(prefix: string): void {
-	for (const row of list(prefix)) {
-		rows.delete(row.key);
+function changesSince(table: string, after: number): Answer | undefined {
+	if (after < historyStart) {
+		return {status: 410, body: {error: 'history is gone'}};
 	}
+
+	const found = history.filter((row) => row.table === table && row.schema_version > after);
+	return found.length > 0 ? {status: 200, body: {rows: found, ...stamp()}} : undefined;
 }
 
-interface Answer {
-	readonly status: number;
-	readonly text: string;
-	readonly isWrite: boolean;
+async function follow(query: URLSearchParams): Promise<Answer> {
+	const table = query.get('table') ?? '';
+	const after = Number(query.get('after'));
+	const ready = changesSince(table, after);
+	if (ready) {
+		return ready;
+	}
+
+	return new Promise((resolve) => {
+		const finish = (answer: Answer) => {
+			clearTimeout(timer);
+			waiters.delete(waiter);
+			resolve(answer);
+		};
+
+		const timer = setTimeout(
+			() => {
+				finish({status: 200, body: {rows: [], ...stamp()}});
+			},
+			Number(query.get('wait_ms')),
+		);
+		const waiter: Waiter = {
+			table,
+			after,
+			answer() {
+				const answer = changesSince(table, after);
+				if (answer) {
+					finish(answer);
+				}
+			},
+		};
+		waiters.add(waiter);
+	});
 }
 
-function answer(method: string, url: URL, body: string): Answer {
-	const {pathname} = url;
-	if (method === 'POST' && pathname === '/v1/table/transactions') {
+function answerBlob(method: string, name: string, body: string): Answer {
+	if (method === 'PUT') {
 		counts.writes += 1;
-		const {operations} = JSON.parse(body) as {operations: WriteOperation[]};
-		const results = operations.map((operation) => apply(operation));
-		return {status: 200, text: JSON.stringify({results}), isWrite: true};
+		blobs.set(name, body);
+		return {status: 200, body: {}, isWrite: true};
 	}
 
-	if (method === 'POST' && pathname === '/v1/table/deletions') {
+	counts.reads += 1;
+	const content = blobs.get(name);
+	return {status: content === undefined ? 404 : 200, body: content ?? ''};
+}
+
+async function answer(method: string, url: URL, body: string): Promise<Answer> {
+	const [, , call = '', name = ''] = url.pathname.split('/');
+	if (method === 'POST' && call === 'rows-tx') {
 		counts.writes += 1;
-		deleteAll((JSON.parse(body) as {prefix: string}).prefix);
-		return {status: 200, text: '{}', isWrite: true};
+		return commit(JSON.parse(body) as Transaction);
 	}
 
-	if (pathname.startsWith('/v1/objects/')) {
-		return answerObject(method, decodeURIComponent(pathname.slice('/v1/objects/'.length)), body);
+	if (call.startsWith('blob-')) {
+		return answerBlob(method, decodeURIComponent(name), body);
 	}
 
 	counts.reads += 1;
-	if (pathname === '/v1/table/rows') {
-		const text = JSON.stringify({rows: list(url.searchParams.get('prefix') ?? '')});
-		return {status: 200, text, isWrite: false};
+	if (call === 'rows-get') {
+		return getRows(url.searchParams);
 	}
 
-	const row = rows.get(decodeURIComponent(pathname.slice('/v1/table/rows/'.length)));
-	return row
-		? {status: 200, text: JSON.stringify(row), isWrite: false}
-		: {status: 404, text: '{}', isWrite: false};
+	return call === 'rows-feed'
+		? follow(url.searchParams)
+		: {status: 404, body: {error: 'no such call'}};
 }
 
-function answerObject(method: string, name: string, body: string): Answer {
-	if (method === 'PUT') {
-		counts.writes += 1;
-		objects.set(name, body);
-		return {status: 200, text: '{}', isWrite: true};
+async function readBody(req: IncomingMessage): Promise<string> {
+	const chunks: Buffer[] = [];
+	for await (const chunk of req) {
+		chunks.push(Buffer.from(chunk as Uint8Array));
 	}
 
-	counts.reads += 1;
-	const content = objects.get(name);
-	return {status: content === undefined ? 404 : 200, text: content ?? '', isWrite: false};
+	return Buffer.concat(chunks).toString('utf8');
 }
 
-async function readBody(req: IncomingMessage): Promise<string> {
-	const chunks: string[] = [];
-	req.setEncoding('utf8');
-	for await (const chunk of req) {
-		chunks.push(String(chunk));
+function applyFaults(change: Partial<Faults>): void {
+	Object.assign(faults, change);
+	if (faults.isHistoryLost) {
+		faults.isHistoryLost = false;
+		historyStart = version + 1;
+		history.length = 0;
 	}
-
-	return chunks.join('');
 }
 
 async function handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
 	const url = new URL(req.url ?? '/', 'http://store');
 	const body = await readBody(req);
 	if (url.pathname === '/stand-in/faults') {
-		Object.assign(faults, JSON.parse(body) as Partial<Faults>);
+		applyFaults(JSON.parse(body) as Partial<Faults>);
 		res.end('{}');
 		return;
 	}
@@ -139,16 +232,21 @@
 		return;
 	}
 
-	const {status, text, isWrite} = answer(req.method ?? 'GET', url, body);
-	if (isWrite && faults.lostAnswers > 0) {
+	if (faults.refused.includes(req.socket.remoteAddress ?? '')) {
+		res.writeHead(503).end('{}');
+		return;
+	}
+
+	const result = await answer(req.method ?? 'GET', url, body);
+	if (result.isWrite && faults.lostAnswers > 0) {
 		faults.lostAnswers -= 1;
 		req.socket.destroy();
 		return;
 	}
 
 	setTimeout(() => {
-		res.writeHead(status, {'content-type': 'application/json'});
-		res.end(text);
+		res.writeHead(result.status, {'content-type': 'application/json'});
+		res.end(typeof result.body === 'string' ? result.body : JSON.stringify(result.body));
 	}, faults.delay);
 }
 
--- /dev/null
+++ b/src/backend/__tests__/unit/pacing.test.ts
@@ -0,0 +1,144 @@
+import {describe, expect, it} from 'vitest';
+import {Deadline, RefusalReason} from '../../../call/index.js';
+import {ManualClock, type Millis} from '../../../clock/index.js';
+import {createRandom} from '../../../random/index.js';
+import {Admission, BackendSpeed, compareUrgency, isWorthHolding, type Ticket} from '../../index.js';
+
+const spell: Millis = 500;
+const slowness = 7;
+const slowShare = 0.25;
+const work: Millis = 120;
+const slots = 9;
+const objective: Millis = 400;
+const timeout: Millis = 800;
+
+/** Plays an overload of one backend server whose speed jumps, and counts answers in time. */
+function playOverload(isHolding: boolean, seed: number): {inTime: number; arrived: number} {
+	const clock = new ManualClock();
+	const random = createRandom(seed);
+	const speed = new BackendSpeed();
+	const admission = new Admission(clock, {slots, queue: 40});
+	let slowdown = 1;
+	let inTime = 0;
+	let arrived = 0;
+	clock.repeat(spell, () => {
+		slowdown = random.next() < slowShare ? slowness : 1;
+	});
+	// Readings come with answers and probes; here every 40 ms.
+	clock.repeat(40, () => {
+		speed.read(slowdown, clock.now());
+		admission.fill();
+	});
+	clock.repeat(10, () => {
+		admission.sweep();
+	});
+	const spacing = work / slots / 0.7;
+	for (let at = 0; at < 60_000; at += spacing) {
+		clock.after(at, () => {
+			arrived += 1;
+			const startedAt = clock.now();
+			const ticket: Ticket = {
+				customer: '',
+				share: 1,
+				priority: 0,
+				objective: new Deadline(startedAt + objective),
+				deadline: new Deadline(startedAt + timeout),
+				isBounceable: false,
+				isHeld: () =>
+					isHolding &&
+					speed.isSlow &&
+					isWorthHolding({work, slowdown: speed.lastSlowdown, spellLeft: speed.spellLeft()}),
+				start() {
+					clock.after(work * slowdown * (0.7 + 0.6 * random.next()), () => {
+						admission.release(ticket, false);
+						inTime += clock.now() - startedAt <= objective ? 1 : 0;
+					});
+				},
+				refuse: () => undefined,
+			};
+			admission.request(ticket);
+		});
+	}
+
+	clock.advance(62_000);
+	return {inTime, arrived};
+}
+
+describe('isWorthHolding', () => {
+	it('holds long calls in a slow spell and lets short ones start', () => {
+		expect(isWorthHolding({work: 120, slowdown: 7, spellLeft: 250})).toBe(true);
+		expect(isWorthHolding({work: 30, slowdown: 7, spellLeft: 250})).toBe(false);
+		expect(isWorthHolding({work: 120, slowdown: 1, spellLeft: 250})).toBe(false);
+	});
+
+	it.each([1, 2, 3])('answers more callers in time at 70% load (seed %i)', (seed) => {
+		const held = playOverload(true, seed);
+		const started = playOverload(false, seed);
+		expect(held.arrived).toBe(started.arrived);
+		const lateWhenHeld = held.arrived - held.inTime;
+		const lateWhenStarted = started.arrived - started.inTime;
+		expect(lateWhenHeld).toBeLessThan(0.7 * lateWhenStarted);
+	});
+});
+
+describe('Admission with held calls', () => {
+	function createTicket(change: Partial<Ticket>): Ticket & {state: string} {
+		const ticket = {
+			customer: '',
+			share: 1,
+			priority: 0,
+			objective: new Deadline(1000),
+			deadline: new Deadline(1000),
+			isBounceable: false,
+			state: 'waiting',
+			start() {
+				ticket.state = 'started';
+			},
+			refuse(reason: RefusalReason) {
+				ticket.state = reason;
+			},
+			...change,
+		};
+		return ticket;
+	}
+
+	it('keeps a held call back from a free slot until the spell has ended', () => {
+		let isSlow = true;
+		const admission = new Admission(new ManualClock(), {slots: 2, queue: 5});
+		const held = createTicket({isHeld: () => isSlow});
+		const short = createTicket({isHeld: () => false});
+		admission.request(held);
+		admission.request(short);
+		expect([held.state, short.state]).toEqual(['waiting', 'started']);
+		isSlow = false;
+		admission.fill();
+		expect(held.state).toBe('started');
+	});
+
+	it('tells a call that can go elsewhere that the backend server is slow', () => {
+		const admission = new Admission(new ManualClock(), {slots: 2, queue: 5});
+		const ticket = createTicket({isHeld: () => true, isBounceable: true});
+		admission.request(ticket);
+		expect(ticket.state).toBe(RefusalReason.BackendSlow);
+	});
+});
+
+describe('compareUrgency', () => {
+	const place = (priority: number, objectiveAt: Millis, deadlineAt: Millis) => ({
+		priority,
+		objective: new Deadline(objectiveAt),
+		deadline: new Deadline(deadlineAt),
+	});
+
+	it('puts late calls behind those that can still be in time, whatever their rank', () => {
+		const late = place(0, 50, 900);
+		const fresh = place(2, 500, 900);
+		expect(compareUrgency(fresh, late, 0, 100)).toBeLessThan(0);
+	});
+
+	it('orders by rank, then by objective; late ones by deadline', () => {
+		expect(compareUrgency(place(0, 500, 900), place(1, 300, 900), 0, 100)).toBeLessThan(0);
+		expect(compareUrgency(place(1, 300, 900), place(1, 500, 900), 0, 100)).toBeLessThan(0);
+		expect(compareUrgency(place(1, 10, 400), place(1, 5, 900), 0, 100)).toBeLessThan(0);
+	});
+});
--- a/src/bin/turmericctl.ts
+++ b/src/bin/turmericctl.ts
@@ -15,6 +15,7 @@
 	subcommands,
 } from 'cmd-ts';
 import {request} from 'undici';
+import {PlatformStore} from '../../platform/index.js';
 import {second} from '../clock/index.js';
 import {DeclarationStore} from '../control/index.js';
 import {
@@ -34,7 +35,7 @@
 } from '../operator/index.js';
 import {createRandom} from '../random/index.js';
 import {parseEndpoint} from '../settings/index.js';
-import {HttpStore} from '../store/index.js';
+import {GuardedStore} from '../store/index.js';
 import {Metrics, silentLogger} from '../telemetry/index.js';
 import {SystemClock} from '../wiring/index.js';
 import {ExitCode} from './exit-code.js';
@@ -67,13 +68,10 @@
 		throw new UsageError(`--store: "${text}" is not IP:port`);
 	}
 
-	const random = createRandom(randomInt(seedBound));
 	const metrics = new Metrics();
-	const localAddress = undefined;
-	const logger = silentLogger;
-	return new DeclarationStore(
-		new HttpStore({endpoint, localAddress, clock, random, metrics, logger}),
-	);
+	const store = new PlatformStore({endpoint, localAddress: undefined, metrics});
+	const random = createRandom(randomInt(seedBound));
+	return new DeclarationStore(new GuardedStore({store, clock, random, logger: silentLogger}));
 }
 
 function render(path: string): Declaration {
--- a/src/ingress/__tests__/unit/call-runner.test.ts
+++ b/src/ingress/__tests__/unit/call-runner.test.ts
@@ -165,6 +165,33 @@
 		expect(attempts).toBe(4);
 	});
 
+	it('never tells that a call has not run when an earlier attempt may have', async () => {
+		let attempts = 0;
+		const runner = createRunner(6, () => {
+			attempts += 1;
+			return attempts === 1
+				? createUnknown(RefusalReason.ExecutorLost)
+				: createRefused(RefusalReason.QueueFull, load);
+		});
+		const {result} = await runner.run(createCall(true));
+		expect(attempts).toBeGreaterThan(1);
+		expect(result).toMatchObject({end: AttemptEnd.Unknown, reason: RefusalReason.ExecutorLost});
+	});
+
+	it('replaces the failure of one backend server by the answer of another', async () => {
+		const failed: AttemptResult = {...answered, status: 500};
+		let attempts = 0;
+		const runner = createRunner(6, () => {
+			attempts += 1;
+			return attempts === 1 ? failed : answered;
+		});
+		const {result} = await runner.run(createCall(true));
+		expect(result).toMatchObject({end: AttemptEnd.Answered, status: 200});
+		const unsafe = createRunner(6, () => failed);
+		const end = await unsafe.run(createCall(false));
+		expect(end).toMatchObject({attempts: 1, result: {status: 500}});
+	});
+
 	it('never gives one call to a third backend server after two broke', async () => {
 		let attempts = 0;
 		const runner = createRunner(6, () => {
--- /dev/null
+++ b/src/ingress/__tests__/unit/hedge.test.ts
@@ -0,0 +1,59 @@
+import {describe, expect, it} from 'vitest';
+import {RefusalReason} from '../../../call/index.js';
+import {
+	AttemptEnd,
+	Cancellation,
+	createRefused,
+	createWholeBody,
+	type AttemptResult,
+} from '../../../exchange/index.js';
+import {withResolvers} from '../../../util/index.js';
+import {HedgeRace} from '../../hedge.js';
+
+function createAttempt() {
+	const {promise, resolve} = withResolvers<AttemptResult>();
+	return {cancellation: new Cancellation(), result: promise, resolve};
+}
+
+function answer(status: number): AttemptResult {
+	return {
+		end: AttemptEnd.Answered,
+		status,
+		headers: [],
+		body: createWholeBody(new Uint8Array()),
+		load: undefined,
+	};
+}
+
+describe('HedgeRace', () => {
+	it('ends with the first answer and cancels the other attempt', async () => {
+		const first = createAttempt();
+		const second = createAttempt();
+		const race = new HedgeRace(first);
+		race.add(second);
+		second.resolve(answer(200));
+		expect(await race.result).toMatchObject({status: 200});
+		expect(first.cancellation.isCanceled).toBe(true);
+		expect(second.cancellation.isCanceled).toBe(false);
+	});
+
+	it.each([
+		['a refusal', createRefused(RefusalReason.Busy)],
+		['a failure of the backend server', answer(500)],
+	])('does not end with %s while another attempt is out', async (_name, result) => {
+		const first = createAttempt();
+		const second = createAttempt();
+		const race = new HedgeRace(first);
+		race.add(second);
+		first.resolve(result);
+		second.resolve(answer(200));
+		expect(await race.result).toMatchObject({status: 200});
+	});
+
+	it('ends with the last result when all are bad', async () => {
+		const first = createAttempt();
+		const race = new HedgeRace(first);
+		first.resolve(answer(500));
+		expect(await race.result).toMatchObject({status: 500});
+	});
+});
--- /dev/null
+++ b/src/node/__tests__/unit/backend-keeper.test.ts
@@ -0,0 +1,136 @@
+import {describe, expect, it} from 'vitest';
+import {BackendState} from '../../../backend/index.js';
+import {ManualClock, type Millis} from '../../../clock/index.js';
+import {RevisionKeeper} from '../../../declaration/index.js';
+import {Executor, TurmericBackendProtocol} from '../../../executor/index.js';
+import {
+	createSelf,
+	defaultGossipSettings,
+	Gossip,
+	MemberPhase,
+} from '../../../membership/index.js';
+import {createRandom} from '../../../random/index.js';
+import {Metrics, silentLogger} from '../../../telemetry/index.js';
+import {AnnouncedState, type Announcement} from '../../announcement.js';
+import {BackendKeeper} from '../../backend-keeper.js';
+
+const noNews = {accepted: 0, acceptedHash: '', staged: 0, stagedHash: ''};
+
+function createWorld() {
+	const clock = new ManualClock(1000);
+	const gossip = new Gossip(createSelf('10.0.0.1:7001', 1, {region: 'r', zone: 'z'}), {
+		settings: defaultGossipSettings,
+		clock,
+		random: createRandom(1),
+		host: {
+			send: () => undefined,
+			mayProbe: () => true,
+			revisionNews: () => noNews,
+			hearRevisionNews: () => undefined,
+			hearRumor: () => undefined,
+			hearHeld: () => undefined,
+			hearPause: () => undefined,
+		},
+	});
+	const executor = new Executor({
+		clock,
+		metrics: new Metrics(),
+		logger: silentLogger,
+		protocol: new TurmericBackendProtocol(),
+		crashWatch: {
+			isHeld: () => false,
+			noteAnswered: () => undefined,
+			noteBroken: () => undefined,
+		},
+		noteUnreachable: () => undefined,
+		noteLoadChanged: () => undefined,
+		probeSpeed: async () => undefined,
+	});
+	const keeper = new BackendKeeper({
+		clock,
+		logger: silentLogger,
+		executor,
+		gossip,
+		keeper: new RevisionKeeper(),
+		silenceLimit: 9000,
+	});
+	return {clock, gossip, executor, keeper};
+}
+
+function announce(startedAt: Millis, sequence: number, change?: Partial<Announcement>): Announcement {
+	return {
+		service: 's',
+		address: '127.0.0.1',
+		port: 9,
+		slots: 4,
+		connections: 10,
+		instance: `i-${startedAt}`,
+		state: AnnouncedState.Serving,
+		healthPath: '',
+		startedAt,
+		sequence,
+		warmUpLeft: 0,
+		...change,
+	};
+}
+
+const draining = {state: AnnouncedState.Draining};
+
+describe('BackendKeeper', () => {
+	it('stays draining when an older announcement comes late', () => {
+		const {keeper, gossip} = createWorld();
+		keeper.announce(announce(5, 1));
+		keeper.announce(announce(5, 3, draining));
+		keeper.announce(announce(5, 2));
+		expect(keeper.state).toBe(BackendState.Draining);
+		expect(gossip.account.phase).toBe(MemberPhase.Draining);
+	});
+
+	it('stays draining when the same start says again that it is ready, also after a silence', () => {
+		const {keeper, clock} = createWorld();
+		keeper.announce(announce(5, 1));
+		keeper.announce(announce(5, 2, draining));
+		keeper.announce(announce(5, 3));
+		expect(keeper.state).toBe(BackendState.Draining);
+		clock.advance(10_000);
+		expect(keeper.state).toBe(BackendState.Absent);
+		keeper.announce(announce(5, 4));
+		expect(keeper.state).toBe(BackendState.Draining);
+	});
+
+	it('does not take a late announcement of an earlier start for the server that is there', () => {
+		const {keeper, executor} = createWorld();
+		keeper.announce(announce(9, 1, {service: 'new'}));
+		keeper.announce(announce(5, 7, {service: 'old'}));
+		expect(executor.service).toBe('new');
+		keeper.announce(announce(5, 8, {service: 'old', ...draining}));
+		expect(keeper.state).not.toBe(BackendState.Draining);
+	});
+
+	it('takes a new start under the same id whose numbers begin anew', () => {
+		const {keeper, gossip} = createWorld();
+		keeper.announce(announce(5, 9, {instance: 'i-same'}));
+		keeper.announce(announce(5, 10, {instance: 'i-same', ...draining}));
+		keeper.announce(announce(8, 0, {instance: 'i-same'}));
+		expect(gossip.account.phase).toBe(MemberPhase.Serving);
+	});
+
+	it('drains a backend server that deregisters first, and ignores what it says afterwards', () => {
+		const {keeper, gossip} = createWorld();
+		keeper.announce(announce(5, 1));
+		keeper.depart({instance: 'i-5', startedAt: 5});
+		expect(keeper.state).toBe(BackendState.Draining);
+		keeper.announce(announce(5, 2));
+		expect(keeper.state).toBe(BackendState.Draining);
+		keeper.announce(announce(6, 0));
+		expect(gossip.account.phase).toBe(MemberPhase.Serving);
+	});
+
+	it('is not moved by the late deregistration of an earlier start', () => {
+		const {keeper, gossip} = createWorld();
+		keeper.announce(announce(5, 1));
+		keeper.announce(announce(8, 1));
+		keeper.depart({instance: 'i-5', startedAt: 5});
+		expect(gossip.account.phase).toBe(MemberPhase.Serving);
+	});
+});
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -1,4 +1,4 @@
-export {HttpStore, StoreOperation, type HttpStoreParts} from './http-store.js';
+export {GuardedStore, type GuardedStoreParts} from './guarded-store.js';
 export {
 	Expect,
 	HistoryLostError,
@@ -12,3 +12,4 @@
 	type WriteOperation,
 	type WriteResult,
 } from './platform-store.js';
+export {StoreOperation} from './store-operation.js';
--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -16,8 +16,8 @@
 import {OperatorServer} from '../operations/index.js';
 import {ExpectedWaitPolicy} from '../routing/index.js';
 import {formatEndpoint, type NodeSettings} from '../settings/index.js';
-import {HttpStore} from '../store/index.js';
-import {logEvents, type Logger} from '../telemetry/index.js';
+import {GuardedStore, type ObjectStore, type TableService} from '../store/index.js';
+import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 import {pause} from '../util/index.js';
 import {NodeCore, type CoreHooks} from './node-core.js';
 import {registerOperatorRoutes} from './operator-routes.js';
@@ -31,12 +31,16 @@
 /** Further attempts that one node can save up for each service. */
 const budgetBursts = {retries: 10, hedges: 10};
 
+/** What a node needs of the platform's store. */
+export type NodeStore = TableService & ObjectStore & {close(): void};
+
 /** One node: wires the parts together and carries it from start to stop. */
 export class TurmericNode {
 	readonly core: NodeCore;
 	readonly keyedCalls: KeyedCalls;
 	readonly home: KeyHome;
-	private readonly store: HttpStore | undefined;
+	private readonly store: GuardedStore | undefined;
+	private readonly storeClient: NodeStore | undefined;
 	private readonly revisions: RevisionAgent;
 	private readonly ingress: Ingress;
 	private readonly operators = new OperatorServer();
@@ -47,6 +51,8 @@
 		private readonly settings: NodeSettings,
 		private readonly clock: Clock,
 		private readonly logger: Logger,
+		/** Creates the client of the platform's store; gives none for a node without a store. */
+		createStore: (metrics: Metrics) => NodeStore | undefined,
 	) {
 		this.core = new NodeCore(settings, clock, logger, this.createHooks());
 		const {id, instance, gossip, hub, keeper, metrics, runner} = this.core;
@@ -60,7 +66,8 @@
 			protocol: new TurmericBackendProtocol(),
 			rate: crossCheckRate,
 		});
-		this.store = this.createStore();
+		this.storeClient = createStore(metrics);
+		this.store = this.createGuard();
 		this.revisions = new RevisionAgent({
 			clock,
 			random: this.core.random,
@@ -178,10 +185,10 @@
 		};
 	}
 
-	private createStore(): HttpStore | undefined {
-		const {store: endpoint, address: localAddress} = this.settings;
-		const {clock, random, metrics, logger} = this.core;
-		return endpoint && new HttpStore({endpoint, localAddress, clock, random, metrics, logger});
+	private createGuard(): GuardedStore | undefined {
+		const {clock, random, logger} = this.core;
+		const {storeClient: store} = this;
+		return store && new GuardedStore({store, clock, random, logger});
 	}
 
 	private createKeyedCalls(): KeyedCalls {
@@ -265,6 +272,6 @@
 		this.revisions.stop();
 		this.core.close();
 		this.operators.close();
-		this.store?.close();
+		this.storeClient?.close();
 	}
 }
