Drain a backend server whose departure does not tell its start

Ruled out: a late ping (none was logged). Change: a departure without a start means the start that is there; each one is logged. Red test first: 'drains a backend server whose departure does not tell its start'.

--- a/src/node/__tests__/unit/backend-keeper.test.ts
+++ b/src/node/__tests__/unit/backend-keeper.test.ts
@@ -126,6 +126,15 @@
 		expect(gossip.account.phase).toBe(MemberPhase.Serving);
 	});
 
+	it('drains a backend server whose departure does not tell its start', () => {
+		const {keeper} = createWorld();
+		keeper.announce(announce(5, 1));
+		keeper.depart({instance: 'i-5', startedAt: undefined});
+		expect(keeper.state).toBe(BackendState.Draining);
+		keeper.announce(announce(5, 2));
+		expect(keeper.state).toBe(BackendState.Draining);
+	});
+
 	it('is not moved by the late deregistration of an earlier start', () => {
 		const {keeper, gossip} = createWorld();
 		keeper.announce(announce(5, 1));
--- a/src/node/backend-keeper.ts
+++ b/src/node/backend-keeper.ts
@@ -98,6 +98,8 @@
 	 */
 	depart(departure: Departure): void {
 		this.departed = departure;
+		const {instance, startedAt} = departure;
+		this.parts.logger.log(logEvents.backendDeparted, {instance, startedAt});
 		if (isSameStart(this.announcement, departure)) {
 			this.drain();
 		}
@@ -217,5 +219,6 @@
 }
 
 function isSameStart(a: Departure | undefined, b: Departure): boolean {
-	return a?.instance === b.instance && a.startedAt === b.startedAt;
+	const isUntold = a?.startedAt === undefined || b.startedAt === undefined;
+	return a?.instance === b.instance && (isUntold || a.startedAt === b.startedAt);
 }
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -70,6 +70,7 @@
 		'A second attempt was sent beside one that is slow.',
 	),
 	requestRefused: event(803, 'request-refused', info, 'A request was refused before it became a call.'),
+	backendDeparted: event(207, 'backend-departed', info, 'A backend server said that it leaves.'),
 	linkOpened: event(300, 'link-opened', debug, 'A link to a peer is open.'),
 	linkClosed: event(301, 'link-closed', debug, 'A link to a peer has closed.'),
 	linkRejected: event(302, 'link-rejected', warn, 'A peer was turned away.'),
