Never take a reset connection for the end of an answer

Ruled out: the caller's side (a broken stream destroys the caller's connection). Change: sockets are watched ahead of the library; an end inside the handling of a reset is a loss. Red test first: 'takes no answer without a length whose connection is reset'; seven more traps beside it.

--- /dev/null
+++ b/src/executor/__tests__/unit/backend-client.test.ts
@@ -0,0 +1,155 @@
+import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {afterEach, describe, expect, it} from 'vitest';
+import {PlatformBackendProtocol} from '../../../../platform/index.js';
+import {Deadline, RefusalReason} from '../../../call/index.js';
+import {
+	AttemptEnd,
+	Cancellation,
+	createWholeBody,
+	type Attempt,
+	type AttemptResult,
+} from '../../../exchange/index.js';
+import {BackendClient} from '../../backend-client.js';
+import type {BackendCallEnd} from '../../backend-call.js';
+
+const signed = 'X-Server-Signature: s\r\nX-Attempt-Id: r1\r\n';
+const cleanUp: Array<() => void> = [];
+
+/** A backend server that answers each request by writing bytes as a test says. */
+async function startServer(answer: (socket: Socket, request: number) => void): Promise<Server> {
+	let requests = 0;
+	const sockets = new Set<Socket>();
+	const server = createServer((socket) => {
+		sockets.add(socket);
+		socket.on('error', () => undefined);
+		socket.on('data', () => {
+			requests += 1;
+			answer(socket, requests);
+		});
+	});
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	cleanUp.push(() => {
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+	return server;
+}
+
+function createAttempt(requestId: string): Attempt {
+	return {
+		id: {instance: 'i', sequence: 1},
+		head: {
+			service: 's',
+			customer: '',
+			method: 'GET',
+			path: '/',
+			headers: ['X-Attempt-Id', requestId],
+			isIdempotent: true,
+			key: undefined,
+			origin: {requestId, caller: 'c', route: 'r', priority: 0},
+			fingerprint: 'f',
+		},
+		share: 1,
+		deadline: new Deadline(10_000),
+		objective: new Deadline(10_000),
+		isBounceable: false,
+		body: createWholeBody(new Uint8Array()),
+		cancellation: new Cancellation(),
+	};
+}
+
+function createClient(server: Server) {
+	const {port} = server.address() as AddressInfo;
+	const endpoint = {address: '127.0.0.1', port};
+	const target = {endpoint, instance: 'i-1', connections: 1};
+	const client = new BackendClient(target, new PlatformBackendProtocol(), {now: () => 0});
+	cleanUp.push(() => {
+		client.close();
+	});
+	const ends: BackendCallEnd[] = [];
+	const send = async (requestId = 'r1'): Promise<AttemptResult> =>
+		client.send(createAttempt(requestId), {check: () => undefined}, {
+			loadRead: () => undefined,
+			ended(end) {
+				ends.push(end);
+			},
+		});
+	return {send, ends};
+}
+
+function bodyOf(result: AttemptResult): string | undefined {
+	const bytes = result.end === AttemptEnd.Answered ? result.body.bytes : undefined;
+	return bytes && new TextDecoder().decode(bytes);
+}
+
+const lost = {end: AttemptEnd.Unknown, reason: RefusalReason.BackendLost};
+
+afterEach(() => {
+	for (const run of cleanUp.splice(0)) {
+		run();
+	}
+});
+
+describe('BackendClient', () => {
+	it('takes an answer without a length that ends with its connection', async () => {
+		const server = await startServer((socket) => {
+			socket.end(`HTTP/1.1 200 OK\r\n${signed}Connection: close\r\n\r\nwhole`);
+		});
+		expect(bodyOf(await createClient(server).send())).toBe('whole');
+	});
+
+	it.each([
+		['without a length', `${signed}Connection: close\r\n\r\npart`],
+		['in chunks', `${signed}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n`],
+		['with a length', `${signed}Connection: close\r\nContent-Length: 9\r\n\r\npart`],
+	])('takes no answer %s whose connection is reset', async (_name, head) => {
+		const server = await startServer((socket) => {
+			socket.write(`HTTP/1.1 200 OK\r\n${head}`, () => {
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 20);
+			});
+		});
+		const {send, ends} = createClient(server);
+		expect(await send()).toMatchObject(lost);
+		expect(ends).toEqual([{isFailure: true, isBroken: true}]);
+	});
+
+	it.each([
+		['in chunks', `${signed}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n`],
+		['with a length', `${signed}Connection: close\r\nContent-Length: 9\r\n\r\npart`],
+	])('takes no answer %s whose connection ends too early', async (_name, head) => {
+		const server = await startServer((socket) => {
+			socket.end(`HTTP/1.1 200 OK\r\n${head}`);
+		});
+		expect(await createClient(server).send()).toMatchObject(lost);
+	});
+
+	it('never gives the extra answer of one request to the next', async () => {
+		const first = `HTTP/1.1 200 OK\r\n${signed}Content-Length: 5\r\n\r\nfirst`;
+		const server = await startServer((socket, request) => {
+			socket.write(first);
+			if (request === 2) {
+				socket.write(first.replace('Id: r1', 'Id: r2').replace('first', 'other'));
+			}
+		});
+		const {send} = createClient(server);
+		expect(bodyOf(await send('r1'))).toBe('first');
+		expect(await send('r2')).toMatchObject(lost);
+	});
+
+	it('is not misled by bytes that follow an answer', async () => {
+		const server = await startServer((socket, request) => {
+			const id = `r${request}`;
+			const text = `HTTP/1.1 200 OK\r\n${signed.replace('r1', id)}Content-Length: 4\r\n\r\ngood`;
+			socket.write(request === 1 ? `${text}garbage that is no answer` : text);
+		});
+		const {send} = createClient(server);
+		expect(bodyOf(await send('r1'))).toBe('good');
+		expect(bodyOf(await send('r2'))).toBe('good');
+	});
+});
--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -12,6 +12,7 @@
 } from '../exchange/index.js';
 import {AnswerVerdict, type BackendLoad, type BackendProtocol} from './backend-protocol.js';
 import {stripHeaders} from './headers.js';
+import type {ResetWatch} from './reset-watch.js';
 
 /** What the executor says just before the first byte of a request is written. */
 export interface WriteGate {
@@ -46,11 +47,27 @@
 	override name = 'ForeignAnswerError';
 }
 
+/** The connection was reset before the answer was whole. */
+class ResetAnswerError extends Error {
+	override name = 'ResetAnswerError';
+}
+
 const notRunReasons: Readonly<Partial<Record<AnswerVerdict, RefusalReason>>> = {
 	[AnswerVerdict.NotRun]: RefusalReason.BackendRefused,
 	[AnswerVerdict.OtherInstance]: RefusalReason.BackendReplaced,
 };
 
+/** What a call is made of. */
+export interface BackendCallParts {
+	readonly requestId: string;
+	readonly protocol: BackendProtocol;
+	readonly resets: ResetWatch;
+	readonly gate: WriteGate;
+	readonly listener: BackendCallListener;
+	/** Takes the end of the call; its body may still stream. */
+	resolve(result: AttemptResult): void;
+}
+
 /** One request on its way to the backend server. */
 export class BackendCall implements Dispatcher.DispatchHandler {
 	private controller: Dispatcher.DispatchController | undefined;
@@ -66,18 +83,12 @@
 	private heldBytes = 0;
 	private stream: PassThrough | undefined;
 
-	constructor(
-		private readonly requestId: string,
-		private readonly protocol: BackendProtocol,
-		private readonly gate: WriteGate,
-		private readonly listener: BackendCallListener,
-		private readonly resolve: (result: AttemptResult) => void,
-	) {}
+	constructor(private readonly parts: BackendCallParts) {}
 
 	// The library calls this in the loop turn in which it writes the first byte.
 	onRequestStart(controller: Dispatcher.DispatchController): void {
 		this.controller = controller;
-		this.gateReason = this.isCanceled ? RefusalReason.DeadlinePassed : this.gate.check();
+		this.gateReason = this.isCanceled ? RefusalReason.DeadlinePassed : this.parts.gate.check();
 		if (this.gateReason === undefined) {
 			this.isWritten = true;
 		} else {
@@ -92,15 +103,15 @@
 
 		this.status = status;
 		this.headers = toHeaderList(controller.rawHeaders);
-		this.verdict = this.protocol.judge({status, headers: this.headers}, this.requestId);
+		this.verdict = this.parts.protocol.judge({status, headers: this.headers}, this.parts.requestId);
 		if (this.verdict === AnswerVerdict.Foreign) {
 			controller.abort(new ForeignAnswerError('the answer belongs to no request'));
 			return;
 		}
 
-		const load = this.protocol.readLoad(this.headers);
+		const load = this.parts.protocol.readLoad(this.headers);
 		if (load) {
-			this.listener.loadRead(load);
+			this.parts.listener.loadRead(load);
 		}
 	}
 
@@ -123,12 +134,17 @@
 	}
 
 	onResponseEnd(controller: Dispatcher.DispatchController): void {
+		if (this.parts.resets.isResetting) {
+			this.onResponseError(controller, new ResetAnswerError('the connection was reset'));
+			return;
+		}
+
 		this.trailers.push(...toHeaderList(controller.rawTrailers));
 		this.end({isFailure: this.status >= serverErrorStatus, isBroken: false});
 		if (this.stream) {
 			this.stream.end();
 		} else {
-			this.resolve(this.wholeAnswer());
+			this.parts.resolve(this.wholeAnswer());
 		}
 	}
 
@@ -136,7 +152,7 @@
 		if (!this.isWritten) {
 			const reason = this.gateReason ?? RefusalReason.BackendUnreachable;
 			this.end({isFailure: this.gateReason === undefined, isBroken: false});
-			this.resolve(createRefused(reason));
+			this.parts.resolve(createRefused(reason));
 			return;
 		}
 
@@ -144,7 +160,7 @@
 		const isForeign = err instanceof ForeignAnswerError;
 		this.end({isFailure: !isAborted, isBroken: !isAborted && !isForeign});
 		this.stream?.destroy(err);
-		this.resolve(createUnknown(isAborted ? RefusalReason.Canceled : RefusalReason.BackendLost));
+		this.parts.resolve(createUnknown(isAborted ? RefusalReason.Canceled : RefusalReason.BackendLost));
 	}
 
 	/** Tells the backend server that nobody waits for the answer. */
@@ -171,7 +187,7 @@
 			}
 		}
 
-		this.resolve({
+		this.parts.resolve({
 			end: AttemptEnd.Answered,
 			status: this.status,
 			headers: stripHeaders(this.headers),
@@ -199,7 +215,7 @@
 	private end(end: BackendCallEnd): void {
 		if (!this.isEnded) {
 			this.isEnded = true;
-			this.listener.ended(end);
+			this.parts.listener.ended(end);
 		}
 	}
 }
--- a/src/executor/backend-client.ts
+++ b/src/executor/backend-client.ts
@@ -5,6 +5,7 @@
 import {formatEndpoint, type Endpoint} from '../settings/index.js';
 import {AbortedError, BackendCall, type BackendCallListener, type WriteGate} from './backend-call.js';
 import type {BackendProtocol} from './backend-protocol.js';
+import {ResetWatch} from './reset-watch.js';
 
 /** A backend server to send requests to. */
 export interface BackendTarget {
@@ -36,6 +37,7 @@
 /** Sends requests to one backend server. */
 export class BackendClient {
 	private readonly pool: Pool;
+	private readonly resets = new ResetWatch();
 
 	constructor(
 		private readonly target: BackendTarget,
@@ -47,7 +49,7 @@
 			pipelining: 1,
 			headersTimeout: 0,
 			bodyTimeout: 0,
-			connectTimeout,
+			connect: this.resets.createConnector(connectTimeout),
 		});
 	}
 
@@ -66,7 +68,8 @@
 		const timeLeft = deadline.timeLeft(this.clock.now());
 		return new Promise((resolve) => {
 			const {requestId} = head.origin;
-			const call = new BackendCall(requestId, this.protocol, gate, listener, resolve);
+			const {protocol, resets} = this;
+			const call = new BackendCall({requestId, protocol, resets, gate, listener, resolve});
 			cancellation.registerListener(() => {
 				call.cancel();
 			});
