--- a/src/bin/node-program.ts
+++ b/src/bin/node-program.ts
@@ -55,6 +55,12 @@
 	process.on('unhandledRejection', (err) => {
 		logger.log(logEvents.unexpectedError, {error: String(err)});
 	});
+	// What is in memory can no longer be trusted; the node starts anew.
+	process.on('uncaughtException', (err) => {
+		process.stderr.write(`${err.stack ?? String(err)}\n`);
+		logger.log(logEvents.unexpectedError, {error: err.stack ?? String(err)});
+		process.exit(ExitCode.Failed);
+	});
 	const stop = async () => {
 		const isClean = await node.stop();
 		process.exit(isClean ? ExitCode.Ok : ExitCode.Forced);
