Find a running backend server at once after a restart, and keep it working while its node stops

Ruled out: gossip (members were known within 0.2 s). Change: the executor works until 0.8 s before the end of the farewell; a started node asks the health path of the address in its settings; crowded backend servers lose their last slots where that costs nothing. Process tests of the whole path on loopback.

--- /dev/null
+++ b/scaffold/mesh/mesh-backend.ts
@@ -0,0 +1,164 @@
+/** A backend server of the users' platform, inside the test's own process. */
+import {Buffer} from 'node:buffer';
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+
+/** A request as a backend server got it. */
+export interface SeenRequest {
+	readonly id: string;
+	readonly method: string;
+	readonly path: string;
+	readonly body: string;
+	readonly headers: IncomingMessage['headers'];
+	readonly at: number;
+	/** Set once the connection closes before the answer was written. */
+	isAbandoned: boolean;
+}
+
+/** How a backend server answers a request; gives true when it has answered by itself. */
+export type Behavior = (req: SeenRequest, res: ServerResponse) => boolean;
+
+/** What a backend server says of itself. */
+export interface BackendIdentity {
+	readonly instance: string;
+	readonly service: string;
+	readonly born: number;
+}
+
+const announcePeriod = 300;
+
+/** Speaks the platform's protocol: ids, signatures, expected instances, heartbeats. */
+export class MeshBackend {
+	readonly seen: SeenRequest[] = [];
+	behavior: Behavior = () => false;
+	/** Time that a request takes, in ms. */
+	work = 5;
+	state = 'ready';
+	isHealthy = true;
+	private sequence = 0;
+	private timer: ReturnType<typeof setInterval> | undefined;
+	private readonly sockets = new Set<Socket>();
+	private readonly server: Server = createServer((req, res) => {
+		void this.handle(req, res);
+	});
+
+	constructor(
+		readonly identity: BackendIdentity,
+		private readonly address: string,
+		/** Where heartbeats go. */
+		private readonly control: string,
+	) {
+		this.server.on('connection', (socket) => {
+			this.sockets.add(socket);
+		});
+	}
+
+	get endpoint(): string {
+		const {port} = this.server.address() as AddressInfo;
+		return `${this.address}:${port}`;
+	}
+
+	async listen(port = 0): Promise<void> {
+		await new Promise<void>((resolve) => {
+			this.server.listen(port, this.address, resolve);
+		});
+	}
+
+	/** Starts announcing itself. */
+	startHeartbeats(): void {
+		void this.heartbeat();
+		this.timer = setInterval(() => {
+			void this.heartbeat();
+		}, announcePeriod);
+	}
+
+	stopHeartbeats(): void {
+		clearInterval(this.timer);
+	}
+
+	/** @returns the status of the node's reply; undefined when it gave none. */
+	async heartbeat(change: Record<string, unknown> = {}): Promise<number | undefined> {
+		this.sequence += 1;
+		const {instance, service, born} = this.identity;
+		const body = {
+			address: this.endpoint,
+			born,
+			info: {service, version: 'v1', zone: 'z', slots: 4},
+			status: {state: this.state, sequence: this.sequence, cold_remaining_ms: 0},
+			...change,
+		};
+		return this.say(`/v1/instances/${instance}/heartbeat`, JSON.stringify(body));
+	}
+
+	async deregister(): Promise<number | undefined> {
+		return this.say(`/v1/instances/${this.identity.instance}/deregister`, '');
+	}
+
+	close(): void {
+		this.stopHeartbeats();
+		this.server.close();
+		for (const socket of this.sockets) {
+			socket.destroy();
+		}
+	}
+
+	private async say(path: string, body: string): Promise<number | undefined> {
+		try {
+			const headers = {'content-type': 'application/json'};
+			const res = await fetch(`http://${this.control}${path}`, {method: 'POST', headers, body});
+			await res.text();
+			return res.status;
+		} catch {
+			// The node may be away; the next heartbeat tells it.
+			return undefined;
+		}
+	}
+
+	private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const {instance} = this.identity;
+		const load = {'x-server-load': '0,0,4,100', 'x-instance-id': instance};
+		if (req.url === '/health') {
+			res.writeHead(this.isHealthy ? 200 : 503, load).end();
+			return;
+		}
+
+		const expected = req.headers['x-expected-instance'];
+		if (expected !== undefined && expected !== instance) {
+			res.writeHead(421, load).end();
+			return;
+		}
+
+		const seen = await this.note(req, res);
+		if (this.behavior(seen, res)) {
+			return;
+		}
+
+		setTimeout(() => {
+			const text = `${instance} ${seen.method} ${seen.path} ${seen.body}`;
+			res.writeHead(200, {...load, 'x-attempt-id': seen.id, 'x-server-signature': 'signed'});
+			res.end(text);
+		}, this.work);
+	}
+
+	private async note(req: IncomingMessage, res: ServerResponse): Promise<SeenRequest> {
+		const chunks: Buffer[] = [];
+		for await (const chunk of req) {
+			chunks.push(Buffer.from(chunk as Uint8Array));
+		}
+
+		const seen: SeenRequest = {
+			id: String(req.headers['x-attempt-id']),
+			method: req.method ?? '',
+			path: req.url ?? '',
+			body: Buffer.concat(chunks).toString('utf8'),
+			headers: req.headers,
+			at: performance.now(),
+			isAbandoned: false,
+		};
+		this.seen.push(seen);
+		res.once('close', () => {
+			seen.isAbandoned = !res.writableFinished;
+		});
+		return seen;
+	}
+}
--- /dev/null
+++ b/scaffold/mesh/mesh.ts
@@ -0,0 +1,269 @@
+/** Nodes of the users' platform as processes on loopback, with a stand-in store and backend servers. */
+import {Buffer} from 'node:buffer';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {Agent, request as httpRequest} from 'node:http';
+import {createServer} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {ProcessGroup} from '../deployment/process-group.js';
+import {MeshBackend} from './mesh-backend.js';
+
+/** One node to start. */
+export interface MeshNodeOptions {
+	readonly zone: string;
+	readonly region: string;
+	readonly service: string;
+}
+
+/** A node with its backend server. */
+export interface MeshNode extends MeshNodeOptions {
+	readonly name: string;
+	readonly address: string;
+	readonly backend: MeshBackend;
+}
+
+/** A caller's request. */
+export interface MeshRequest {
+	readonly host?: string;
+	readonly method?: string;
+	readonly path: string;
+	readonly body?: string;
+	readonly id?: string;
+	readonly deadline?: number;
+	readonly agent?: Agent;
+	readonly signal?: AbortSignal;
+}
+
+/** What a caller got. */
+export interface MeshAnswer {
+	readonly status: number;
+	readonly body: string;
+	readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+}
+
+export interface MeshRoute {
+	readonly host: string;
+	readonly prefix: string;
+	readonly kind: 'safe' | 'unsafe';
+	readonly service: string;
+	readonly timeout_ms?: number;
+}
+
+const ports = {callers: 7600, readiness: 7601, announcements: 7602, link: 7603, operators: 7604};
+const storePort = 7690;
+const waitLimit = 20_000;
+let nextId = 0;
+
+/** @returns a port that is free now. */
+export async function freePort(address: string): Promise<number> {
+	return new Promise((resolve) => {
+		const server = createServer();
+		server.listen(0, address, () => {
+			const found = server.address();
+			server.close(() => {
+				resolve(typeof found === 'object' && found ? found.port : 0);
+			});
+		});
+	});
+}
+
+/** Waits until something holds; fails after a limit that only ends a test that hangs. */
+export async function eventually(check: () => boolean | Promise<boolean>): Promise<void> {
+	const until = performance.now() + waitLimit;
+	while (!(await check())) {
+		if (performance.now() > until) {
+			throw new Error('waited in vain');
+		}
+
+		await new Promise((resolve) => {
+			setTimeout(resolve, 20);
+		});
+	}
+}
+
+export class Mesh {
+	readonly nodes: MeshNode[] = [];
+	private readonly folder = mkdtempSync(join(tmpdir(), 'mesh-'));
+	private readonly group = new ProcessGroup(this.folder);
+	private version = 0;
+
+	constructor(private readonly subnet: number) {}
+
+	private get store(): string {
+		return `127.31.${this.subnet}.1:${storePort}`;
+	}
+
+	async startStore(): Promise<void> {
+		const args = ['dist/scaffold/stand-ins/platform-store.js', ...this.store.split(':')];
+		await this.group.start({name: 'store', args, readyText: 'ready'});
+	}
+
+	/** Starts a node with its backend server; waits until the node listens. */
+	async addNode(options: MeshNodeOptions): Promise<MeshNode> {
+		const index = this.nodes.length + 1;
+		const address = `127.31.${this.subnet}.${10 + index}`;
+		const control = `${address}:${ports.announcements}`;
+		const identity = {instance: `i-${index}`, service: options.service, born: 1000 + index};
+		const backend = new MeshBackend(identity, address, control);
+		await backend.listen();
+		const node = {...options, name: `node-${index}`, address, backend};
+		this.nodes.push(node);
+		writeFileSync(this.settingsFile(node), this.settingsOf(node));
+		await this.startNode(node);
+		backend.startHeartbeats();
+		return node;
+	}
+
+	async startNode(node: MeshNode): Promise<void> {
+		const args = ['dist/platform/turmeric-platform-node.js', '--settings', this.settingsFile(node)];
+		await this.group.start({name: node.name, args, readyText: 'node-started'});
+	}
+
+	/** @returns the exit code. */
+	async endNode(node: MeshNode, signal: NodeJS.Signals): Promise<number | undefined> {
+		const {ended} = this.group.get(node.name);
+		this.group.signal(node.name, signal);
+		return ended;
+	}
+
+	signalNode(node: MeshNode, signal: NodeJS.Signals): void {
+		this.group.signal(node.name, signal);
+	}
+
+	/** Writes a configuration as the operator does. */
+	async configure(routes: readonly MeshRoute[], version = this.version + 1): Promise<void> {
+		this.version = Math.max(this.version, version);
+		const services = new Set(routes.map((route) => route.service));
+		const value = {
+			version,
+			routes: Object.fromEntries(
+				routes.map((route, i) => [
+					`r-${i}`,
+					{timeout_ms: 1000, target_latency_ms: 400, priority: 0, attempts: 2, ...route},
+				]),
+			),
+			services: Object.fromEntries(
+				[...services].map((name) => [name, {health_path: '/health', max_connections: 50}]),
+			),
+			limits: {
+				max_header_bytes: 16_384,
+				max_body_bytes: 1_000_000,
+				header_timeout_ms: 3000,
+				idle_timeout_ms: 15_000,
+			},
+		};
+		const text = Buffer.from(JSON.stringify(value)).toString('base64');
+		await this.writeRow('op', 'config', text);
+	}
+
+	async writeRow(table: string, key: string, value: string): Promise<void> {
+		const entry = {table, part: '', key, value};
+		const body = JSON.stringify({expect: [], put_entries: [entry], removals: []});
+		await fetch(`http://${this.store}/v1/rows-tx`, {method: 'POST', body});
+	}
+
+	async setStoreFaults(faults: Record<string, unknown>): Promise<void> {
+		const body = JSON.stringify(faults);
+		await fetch(`http://${this.store}/stand-in/faults`, {method: 'POST', body});
+	}
+
+	async isReady(node: MeshNode): Promise<boolean> {
+		try {
+			const res = await fetch(`http://${node.address}:${ports.readiness}/v1/ready`);
+			await res.text();
+			return res.status === 200;
+		} catch {
+			return false;
+		}
+	}
+
+	/** @returns what the node says of itself to operators. */
+	async status(node: MeshNode): Promise<{revision: {inForce: number}; members: number}> {
+		const res = await fetch(`http://${node.address}:${ports.operators}/v1/status`);
+		return (await res.json()) as {revision: {inForce: number}; members: number};
+	}
+
+	/** Waits until every node is ready, knows all others, and has its backend server. */
+	async settle(): Promise<void> {
+		for (const node of this.nodes) {
+			await eventually(async () => this.isReady(node));
+			await eventually(async () => (await this.status(node)).members === this.nodes.length);
+		}
+	}
+
+	async send(node: MeshNode, req: MeshRequest): Promise<MeshAnswer> {
+		nextId += 1;
+		const {host = 'a.example', method = 'GET', path, body, id = `r${nextId}`} = req;
+		const headers: Record<string, string> = {host, 'x-attempt-id': id};
+		headers['x-request-deadline'] = String(req.deadline ?? 2000);
+		if (body !== undefined) {
+			headers['content-length'] = String(Buffer.byteLength(body));
+		}
+
+		const {agent, signal} = req;
+		return new Promise((resolve, reject) => {
+			const {address} = node;
+			const out = httpRequest(
+				{host: address, port: ports.callers, method, path, headers, agent, signal},
+				(res) => {
+					const chunks: Buffer[] = [];
+					res.on('data', (chunk: Buffer) => {
+						chunks.push(chunk);
+					});
+					res.once('error', reject);
+					res.once('end', () => {
+						const text = Buffer.concat(chunks).toString('utf8');
+						resolve({status: res.statusCode ?? 0, body: text, headers: res.headers});
+					});
+				},
+			);
+			out.once('error', reject);
+			out.end(body);
+		});
+	}
+
+	/** @returns the log lines of a node. */
+	log(node: MeshNode): Array<Readonly<Record<string, unknown>>> {
+		const text = readFileSync(join(this.folder, `${node.name}.log`), 'utf8');
+		const lines = text.split('\n').filter((line) => line.startsWith('{'));
+		return lines.map((line) => JSON.parse(line) as Readonly<Record<string, unknown>>);
+	}
+
+	async stop(): Promise<void> {
+		for (const node of this.nodes) {
+			node.backend.close();
+		}
+
+		await this.group.stop();
+		rmSync(this.folder, {recursive: true, force: true});
+	}
+
+	private settingsFile(node: MeshNode): string {
+		return join(this.folder, `${node.name}.ini`);
+	}
+
+	private settingsOf({address, region, zone, service, backend}: MeshNode): string {
+		return [
+			'[node]',
+			`address = ${address}`,
+			`callers = ${address}:${ports.callers}`,
+			`readiness = ${address}:${ports.readiness}`,
+			`announcements = ${address}:${ports.announcements}`,
+			`link-port = ${ports.link}`,
+			`operator-port = ${ports.operators}`,
+			`region = ${region}`,
+			`zone = ${zone}`,
+			'stop-timeout = 6 s',
+			'[peers]',
+			'secret = test-secret',
+			'[store]',
+			`address = ${this.store}`,
+			'[backend]',
+			`service = ${service}`,
+			`address = ${backend.endpoint}`,
+			'announce-period = 300 ms',
+			'[budgets]',
+			'slack = 50',
+		].join('\n');
+	}
+}
--- a/src/backend/__tests__/unit/pacing.test.ts
+++ b/src/backend/__tests__/unit/pacing.test.ts
@@ -44,10 +44,12 @@
 				objective: new Deadline(startedAt + objective),
 				deadline: new Deadline(startedAt + timeout),
 				isBounceable: false,
-				isHeld: () =>
-					isHolding &&
-					speed.isSlow &&
-					isWorthHolding({work, slowdown: speed.lastSlowdown, spellLeft: speed.spellLeft()}),
+				holdTime() {
+					const spellLeft = speed.spellLeft();
+					const {lastSlowdown, isSlow} = speed;
+					const isHeld = isSlow && isWorthHolding({work, slowdown: lastSlowdown, spellLeft});
+					return isHolding && isHeld ? spellLeft : 0;
+				},
 				start() {
 					clock.after(work * slowdown * (0.7 + 0.6 * random.next()), () => {
 						admission.release(ticket, false);
@@ -105,8 +107,8 @@
 	it('keeps a held call back from a free slot until the spell has ended', () => {
 		let isSlow = true;
 		const admission = new Admission(new ManualClock(), {slots: 2, queue: 5});
-		const held = createTicket({isHeld: () => isSlow});
-		const short = createTicket({isHeld: () => false});
+		const held = createTicket({holdTime: () => (isSlow ? 100 : 0)});
+		const short = createTicket({holdTime: () => 0});
 		admission.request(held);
 		admission.request(short);
 		expect([held.state, short.state]).toEqual(['waiting', 'started']);
@@ -117,7 +119,7 @@
 
 	it('tells a call that can go elsewhere that the backend server is slow', () => {
 		const admission = new Admission(new ManualClock(), {slots: 2, queue: 5});
-		const ticket = createTicket({isHeld: () => true, isBounceable: true});
+		const ticket = createTicket({holdTime: () => 100, isBounceable: true});
 		admission.request(ticket);
 		expect(ticket.state).toBe(RefusalReason.BackendSlow);
 	});
--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -11,8 +11,8 @@
 	readonly share: number;
 	/** Whether the call would rather be refused than wait, as it can try elsewhere. */
 	readonly isBounceable: boolean;
-	/** @returns whether it is better for the call to wait though a slot is free. */
-	isHeld?(): boolean;
+	/** @returns how long the call should better wait though a slot is free, in ms; 0 to start. */
+	holdTime?(): Millis;
 	/** The slot is the caller's own until it is released. */
 	start(): void;
 	/**
@@ -219,7 +219,8 @@
 		const excess = Math.max(0, this.running.size - this.limits.slots);
 		const places = Math.min(ahead, fairAhead) + excess;
 		const serviceTime = this.currentServiceTime();
-		return (places / Math.max(1, this.limits.slots)) * serviceTime + serviceTime;
+		const hold = ticket.holdTime?.() ?? 0;
+		return hold + (places / Math.max(1, this.limits.slots)) * serviceTime + serviceTime;
 	}
 
 	// Calls that run for longer than usual tell of a slow backend server before they end.
@@ -311,5 +312,5 @@
 }
 
 function isHeld(ticket: Ticket): boolean {
-	return ticket.isHeld?.() ?? false;
+	return (ticket.holdTime?.() ?? 0) > 0;
 }
--- a/src/executor/backend-protocol.ts
+++ b/src/executor/backend-protocol.ts
@@ -45,6 +45,11 @@
 	 * @returns what the answer is.
 	 */
 	judge(head: AnswerHead, requestId: string): AnswerVerdict;
+	/**
+	 * @param headers - headers of an answer.
+	 * @returns which start of the backend server answered; undefined where it does not tell.
+	 */
+	readInstance(headers: HeaderList): string | undefined;
 	/**
 	 * @param headers - headers of an answer.
 	 * @returns the load that they tell; undefined where they tell none.
@@ -68,6 +73,10 @@
 		return isRefused ? AnswerVerdict.NotRun : AnswerVerdict.Answer;
 	}
 
+	readInstance(): string | undefined {
+		return undefined;
+	}
+
 	readLoad(): BackendLoad | undefined {
 		return undefined;
 	}
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -1,4 +1,4 @@
-import {Admission, BackendSpeed, isWorthHolding, type Ticket} from '../backend/index.js';
+import {Admission, BackendSpeed, Crowding, isWorthHolding, type AdmissionLimits, type Ticket} from '../backend/index.js';
 import {
 	AttemptLedger,
 	RefusalReason,
@@ -56,7 +56,13 @@
 }
 
 type Target = {client: BackendClient; service: string; instance: string};
-type Running = {ticket: Ticket; startedAt: Millis; waited: Millis; slowdown: number};
+type Running = {
+	ticket: Ticket;
+	startedAt: Millis;
+	waited: Millis;
+	slowdown: number;
+	isCrowded: boolean;
+};
 
 const sweepPeriod: Millis = 10;
 const expiryPeriod: Millis = 1000;
@@ -77,6 +83,8 @@
 	private readonly admission: Admission;
 	private readonly speed = new BackendSpeed();
 	private readonly profiles = new CallProfiles();
+	private readonly crowding = new Crowding();
+	private limits: AdmissionLimits = {slots: 1, queue: 0};
 	private readonly inFlight = new Map<Attempt, Running>();
 	private target: Target | undefined;
 	private isDraining = false;
@@ -84,7 +92,7 @@
 	private toldLevel = 0;
 
 	constructor(private readonly parts: ExecutorParts) {
-		this.admission = new Admission(parts.clock, {slots: 1, queue: 0});
+		this.admission = new Admission(parts.clock, this.limits);
 		parts.clock.repeat(expiryPeriod, () => {
 			this.ledger.expire(parts.clock.now());
 		});
@@ -124,7 +132,8 @@
 	 * @param queue - calls that may wait.
 	 */
 	setLimits(slots: number, queue: number): void {
-		this.admission.setLimits({slots, queue});
+		this.limits = {slots, queue};
+		this.admission.setLimits({slots: this.crowding.limit(slots), queue});
 	}
 
 	/** Takes no new work; what waits is handed back, what runs is finished. */
@@ -195,7 +204,7 @@
 			share: attempt.share,
 			deadline: attempt.deadline,
 			isBounceable: attempt.isBounceable,
-			isHeld: () => this.isHeld(attempt),
+			holdTime: () => this.holdTime(attempt),
 			start: () => {
 				const waited = this.parts.clock.now() - askedAt;
 				void this.send(attempt, ticket, waited).then(resolve);
@@ -236,15 +245,16 @@
 		}
 	}
 
-	private isHeld(attempt: Attempt): boolean {
+	private holdTime(attempt: Attempt): Millis {
 		if (!this.speed.isSlow) {
-			return false;
+			return 0;
 		}
 
 		const {route} = attempt.head.origin;
 		const {work} = this.profiles.of(route, attempt.objective.timeLeft(this.parts.clock.now()));
 		const {lastSlowdown: slowdown} = this.speed;
-		return isWorthHolding({work, slowdown, spellLeft: this.speed.spellLeft()});
+		const spellLeft = this.speed.spellLeft();
+		return isWorthHolding({work, slowdown, spellLeft}) ? spellLeft : 0;
 	}
 
 	private refusalFor(attempt: Attempt): RefusalReason | undefined {
@@ -269,7 +279,8 @@
 
 		const now = this.parts.clock.now();
 		const slowdown = this.speed.slowdown(now);
-		this.inFlight.set(attempt, {ticket, startedAt: now, waited, slowdown});
+		const isCrowded = this.crowding.isCrowded(this.inFlight.size + 1, this.limits.slots);
+		this.inFlight.set(attempt, {ticket, startedAt: now, waited, slowdown, isCrowded});
 		this.noteLevel();
 		const result = await target.client.send(
 			attempt,
@@ -369,9 +380,15 @@
 
 	private learn(attempt: Attempt, running: Running, isFailure: boolean): void {
 		const isWhole = !isFailure && !attempt.cancellation.isCanceled;
-		if (isWhole && running.slowdown <= usualSpeed) {
-			const ran = this.parts.clock.now() - running.startedAt;
-			this.profiles.add(attempt.head.origin.route, ran, 0);
+		if (!isWhole || running.slowdown > usualSpeed) {
+			return;
+		}
+
+		const ran = this.parts.clock.now() - running.startedAt;
+		const {route} = attempt.head.origin;
+		this.crowding.note(running.isCrowded, ran, this.profiles.of(route, ran).work);
+		if (!running.isCrowded) {
+			this.profiles.add(route, ran, 0);
 		}
 	}
 
--- a/src/node/backend-keeper.ts
+++ b/src/node/backend-keeper.ts
@@ -49,6 +49,11 @@
 		return this.lifecycle.getSnapshot().value;
 	}
 
+	/** Whether a backend server has said something since this node started. */
+	get hasAnnounced(): boolean {
+		return this.announcement !== undefined || this.departed !== undefined;
+	}
+
 	/** Whether there is a backend server, draining or not. */
 	get isPresent(): boolean {
 		return this.state !== BackendState.Absent;
--- a/src/node/backend-probe.ts
+++ b/src/node/backend-probe.ts
@@ -7,6 +7,7 @@
 import type {Metrics} from '../telemetry/index.js';
 import {pause} from '../util/index.js';
 import type {BackendKeeper} from './backend-keeper.js';
+import {toHeaderList} from './header-list.js';
 
 /** How often and how much a node probes. */
 export interface ProbeRate {
@@ -126,17 +127,6 @@
 	}
 }
 
-function toHeaderList(headers: Readonly<Record<string, string | string[] | undefined>>): string[] {
-	const list: string[] = [];
-	for (const [name, value] of Object.entries(headers)) {
-		if (typeof value === 'string') {
-			list.push(name, value);
-		}
-	}
-
-	return list;
-}
-
 function isRefused(err: unknown): boolean {
 	return err instanceof Error && 'code' in err && err.code === 'ECONNREFUSED';
 }
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -14,6 +14,8 @@
 export interface BackendSettings {
 	/** Its service, in whose name its calls are made; empty where unknown. */
 	readonly service: string;
+	/** Where it listens; undefined where unknown. */
+	readonly endpoint: Endpoint | undefined;
 	/** Time between two of its announcements. */
 	readonly announcePeriod: Millis;
 }
@@ -98,6 +100,7 @@
 	const announcePeriod = {min: 100, max: 60 * second, fallback: second};
 	return {
 		service: reader.text('service', ''),
+		endpoint: readEndpoints(reader, 'address')[0],
 		announcePeriod: reader.duration('announce-period', announcePeriod),
 	};
 }
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -71,6 +71,8 @@
 	),
 	requestRefused: event(803, 'request-refused', info, 'A request was refused before it became a call.'),
 	backendDeparted: event(207, 'backend-departed', info, 'A backend server said that it leaves.'),
+	backendFound: event(208, 'backend-found', info, 'A backend server was found before it announced itself.'),
+	backendNotFound: event(209, 'backend-not-found', debug, 'No backend server answers at the address of the settings.'),
 	linkOpened: event(300, 'link-opened', debug, 'A link to a peer is open.'),
 	linkClosed: event(301, 'link-closed', debug, 'A link to a peer has closed.'),
 	linkRejected: event(302, 'link-rejected', warn, 'A peer was turned away.'),
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -6,6 +6,7 @@
 import type {BackendProtocol} from '../executor/index.js';
 import {Ingress, type BudgetBursts, type CallerProtocol} from '../ingress/index.js';
 import {Distance, distanceBetween, isPresent, isRoutable, MemberPhase, type Member} from '../membership/index.js';
+import {BackendFinder} from '../node/backend-finder.js';
 import {BackendProbe, type ProbeRate} from '../node/backend-probe.js';
 import {LoadNews} from '../node/load-news.js';
 import {NodeEvent, NodeState} from '../node/node-lifecycle.js';
@@ -41,6 +42,8 @@
 const farewellTime: Millis = 200;
 /** Two questions for readiness, a second apart, and the way of what was sent before the second. */
 const lingerTime: Millis = 2.6 * second;
+/** How long before its end a node that stops takes no more work from others; most calls are shorter. */
+const handBackTime: Millis = 0.8 * second;
 /** Kept back from the time to stop, for the farewell. */
 const stopReserve: Millis = 0.7 * second;
 /** A node that has its configuration waits so long for peers before it takes calls alone. */
@@ -157,6 +160,7 @@
 		this.feed.start();
 		this.roster.start();
 		this.probe.start();
+		this.findBackend();
 		this.checkReady();
 	}
 
@@ -174,12 +178,13 @@
 		const until = clock.now() + this.settings.stopTimeout - stopReserve;
 		lifecycle.send({type: NodeEvent.StopAsked});
 		this.logger.log(logEvents.nodeDraining, {inFlight: this.ingress.inFlight, running: executor.busy});
+		this.ingress.drain();
+		await pause(clock, lingerTime - handBackTime);
 		backend.drainNode();
 		gossip.declare({phase: MemberPhase.Draining});
 		hub.announceLeaving();
 		gossip.flush();
-		this.ingress.drain();
-		await pause(clock, lingerTime);
+		await pause(clock, handBackTime);
 		// The backend server's own calls come in here as long as it works.
 		await this.core.waitUntilIdle(() => executor.busy, until);
 		this.ingress.close();
@@ -196,6 +201,17 @@
 		return isClean;
 	}
 
+	private findBackend(): void {
+		const {clock, logger} = this;
+		const {endpoint, service} = this.settings.backend;
+		const {keeper, backend} = this.core;
+		if (endpoint) {
+			const {backendProtocol: protocol} = this.surroundings;
+			const parts = {clock, logger, keeper, backend, protocol, endpoint, service};
+			new BackendFinder(parts).start();
+		}
+	}
+
 	private createHooks(): CoreHooks {
 		const {settings} = this;
 		return {
--- /dev/null
+++ b/tests/mesh.test.ts
@@ -0,0 +1,212 @@
+import {Agent} from 'node:http';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {eventually, Mesh, type MeshNode, type MeshRoute} from '../scaffold/mesh/mesh.js';
+
+const routes: MeshRoute[] = [
+	{host: 'a.example', prefix: '/safe/', kind: 'safe', service: 'alpha'},
+	{host: 'a.example', prefix: '/unsafe/', kind: 'unsafe', service: 'alpha'},
+	{host: 'a.example', prefix: '/brief/', kind: 'unsafe', service: 'beta', timeout_ms: 300},
+];
+
+/** Bound of the users' pages from the acknowledgement of a configuration. */
+const applyBound = 2000;
+/** Bound of the users' pages from a caller's leaving to the end of the work for it. */
+const leftBound = 500;
+
+async function pause(span: number): Promise<void> {
+	await new Promise((resolve) => {
+		setTimeout(resolve, span);
+	});
+}
+
+describe('nodes on the platform', () => {
+	const mesh = new Mesh(1);
+	let alpha: MeshNode;
+	let beta: MeshNode;
+	let other: MeshNode;
+
+	beforeAll(async () => {
+		await mesh.startStore();
+		alpha = await mesh.addNode({zone: 'a', region: 'one', service: 'alpha'});
+		beta = await mesh.addNode({zone: 'a', region: 'one', service: 'beta'});
+		other = await mesh.addNode({zone: 'b', region: 'one', service: 'alpha'});
+	});
+
+	afterAll(async () => {
+		await mesh.stop();
+	});
+
+	it('answer 503 and are not ready before there is a configuration', async () => {
+		expect(await mesh.isReady(beta)).toBe(false);
+		const answer = await mesh.send(beta, {path: '/safe/1'});
+		expect(answer.status).toBe(503);
+		expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+	});
+
+	it('serve a request at the backend server of another node', async () => {
+		await mesh.configure(routes);
+		await mesh.settle();
+		await eventually(async () => (await mesh.send(beta, {path: '/safe/0'})).status === 200);
+		const answer = await mesh.send(beta, {path: '/safe/x?q=1', id: 'whole-path', deadline: 900});
+		expect(answer).toMatchObject({status: 200, headers: {'x-server-signature': 'signed'}});
+		expect(answer.headers['x-attempt-id']).toBe('whole-path');
+		const seen = [...alpha.backend.seen, ...other.backend.seen].find(({id}) => id === 'whole-path');
+		expect(seen).toMatchObject({method: 'GET', path: '/safe/x?q=1'});
+		expect(seen?.headers).toMatchObject({host: 'a.example', 'x-caller-service': 'beta'});
+		const timeLeft = Number(seen?.headers['x-request-deadline']);
+		expect(timeLeft).toBeGreaterThan(0);
+		expect(timeLeft).toBeLessThanOrEqual(900);
+	});
+
+	it('pass bodies with a length on unchanged', async () => {
+		const body = 'x'.repeat(100_000);
+		const answer = await mesh.send(beta, {path: '/unsafe/1', method: 'POST', body});
+		expect(answer.status).toBe(200);
+		expect(answer.body.endsWith(body)).toBe(true);
+	});
+
+	it('answer 404 where no route matches', async () => {
+		expect((await mesh.send(beta, {path: '/none/1'})).status).toBe(404);
+		expect((await mesh.send(beta, {path: '/safe/1', host: 'b.example'})).status).toBe(404);
+	});
+
+	it('give a request up at the time-out of its route, and the work for it', async () => {
+		beta.backend.behavior = () => true;
+		const startedAt = performance.now();
+		const answer = await mesh.send(alpha, {path: '/brief/1', id: 'too-long'});
+		expect(answer.status).toBe(504);
+		expect(performance.now() - startedAt).toBeLessThan(300 + leftBound);
+		const seen = () => beta.backend.seen.find(({id}) => id === 'too-long');
+		await eventually(() => seen()?.isAbandoned === true);
+		beta.backend.behavior = () => false;
+	});
+
+	it('end the work when the caller leaves', async () => {
+		alpha.backend.behavior = () => true;
+		other.backend.behavior = () => true;
+		const abort = new AbortController();
+		const answer = mesh.send(beta, {path: '/unsafe/2', id: 'left', signal: abort.signal});
+		const all = () => [...alpha.backend.seen, ...other.backend.seen];
+		const find = () => all().find(({id}) => id === 'left');
+		await eventually(() => find() !== undefined);
+		abort.abort();
+		const leftAt = performance.now();
+		await expect(answer).rejects.toThrow();
+		await eventually(() => find()?.isAbandoned === true);
+		expect(performance.now() - leftAt).toBeLessThan(leftBound);
+		alpha.backend.behavior = () => false;
+		other.backend.behavior = () => false;
+	});
+
+	it('never run an unsafe request twice when its answer is lost', async () => {
+		const lose = (_req: unknown, res: {destroy(): unknown}) => {
+			res.destroy();
+			return true;
+		};
+
+		alpha.backend.behavior = lose;
+		other.backend.behavior = lose;
+		const answer = await mesh.send(beta, {path: '/unsafe/3', id: 'lost-answer'});
+		expect([502, 504]).toContain(answer.status);
+		const all = [...alpha.backend.seen, ...other.backend.seen];
+		expect(all.filter(({id}) => id === 'lost-answer')).toHaveLength(1);
+		alpha.backend.behavior = () => false;
+		other.backend.behavior = () => false;
+	});
+
+	it('never take a configuration back, also when an older one is written', async () => {
+		const added: MeshRoute = {host: 'a.example', prefix: '/new/', kind: 'safe', service: 'beta'};
+		await mesh.configure([...routes, added], 10);
+		const ackedAt = performance.now();
+		for (const node of mesh.nodes) {
+			await eventually(async () => (await mesh.status(node)).revision.inForce === 10);
+		}
+
+		expect(performance.now() - ackedAt).toBeLessThan(applyBound);
+		await mesh.configure(routes, 4);
+		await mesh.writeRow('op', 'config', 'bm8gSlNPTg==');
+		await pause(300);
+		for (const node of mesh.nodes) {
+			expect((await mesh.status(node)).revision.inForce).toBe(10);
+			expect((await mesh.send(node, {path: '/new/1'})).status).toBe(200);
+		}
+	});
+
+	it('bring a configuration to a node that the store turns away, and follow on a lost history', async () => {
+		await mesh.setStoreFaults({refused: [other.address]});
+		await mesh.configure(routes, 11);
+		const ackedAt = performance.now();
+		await eventually(async () => (await mesh.status(other)).revision.inForce === 11);
+		expect(performance.now() - ackedAt).toBeLessThan(applyBound);
+		await mesh.setStoreFaults({refused: [], isHistoryLost: true});
+		await mesh.configure(routes, 12);
+		for (const node of mesh.nodes) {
+			await eventually(async () => (await mesh.status(node)).revision.inForce === 12);
+		}
+	});
+
+	it('send nothing to a backend server that has said that it leaves', async () => {
+		other.backend.stopHeartbeats();
+		expect(await other.backend.deregister()).toBe(200);
+		const before = other.backend.seen.length;
+		for (let i = 0; i < 40; i++) {
+			expect((await mesh.send(beta, {path: `/safe/${i}`})).status).toBe(200);
+		}
+
+		expect(other.backend.seen).toHaveLength(before);
+	});
+
+	it('are not confused by announcements from another writer', async () => {
+		expect(await alpha.backend.heartbeat({info: {service: 7}})).toBe(400);
+		expect(await alpha.backend.heartbeat({status: {state: 'asleep', sequence: 999}})).toBe(400);
+		expect((await mesh.send(beta, {path: '/safe/1'})).status).toBe(200);
+	});
+
+	it('cut nothing when a node stops, on connections that callers keep using', async () => {
+		alpha.backend.work = 150;
+		const agent = new Agent({keepAlive: true, maxSockets: 4});
+		let isOver = false;
+		const answers: number[] = [];
+		let cut = 0;
+		const callers = Array.from({length: 4}, async (_, caller) => {
+			for (let i = 0; !isOver; i++) {
+				const id = `stop-${caller}-${i}`;
+				try {
+					answers.push((await mesh.send(beta, {path: '/unsafe/s', id, agent})).status);
+				} catch {
+					// A request that never reached a backend server crossed the close of its connection.
+					cut += alpha.backend.seen.some((seen) => seen.id === id) ? 1 : 0;
+					await pause(20);
+				}
+			}
+		});
+		await pause(300);
+		const code = await mesh.endNode(beta, 'SIGTERM');
+		isOver = true;
+		await Promise.all(callers);
+		agent.destroy();
+		expect(code).toBe(0);
+		expect(cut).toBe(0);
+		expect(answers.length).toBeGreaterThan(20);
+		expect(answers.every((status) => status === 200)).toBe(true);
+	});
+
+	it('find the backend server that ran on while its node was away', async () => {
+		beta.backend.stopHeartbeats();
+		await mesh.startNode(beta);
+		await eventually(async () => (await mesh.send(beta, {path: '/brief/2'})).status === 200);
+		const found = mesh.log(beta).filter(({event}) => event === 'backend-found');
+		expect(found).toHaveLength(1);
+	});
+
+	it('tell the cause of a failed request by its id', async () => {
+		const {body} = await mesh.send(alpha, {path: '/none/1', id: 'no-route-1'});
+		expect(JSON.parse(body)).toMatchObject({reason: 'no-route'});
+		beta.backend.behavior = () => true;
+		await mesh.send(alpha, {path: '/brief/1', id: 'traced'});
+		await eventually(() => mesh.log(beta).some(({request}) => request === 'traced'));
+		const lines = [...mesh.log(alpha), ...mesh.log(beta)].filter(({request}) => request === 'traced');
+		expect(lines.map(({event}) => event)).toContain('call-ended');
+		expect(lines.map(({event}) => event)).toContain('attempt-ended');
+	});
+});
