Pass an answer without a length on as one that ends with its connection

Ruled out: a reset (none came; the reset watch stays for those). Change: whether the end of a body is marked travels with it, and the ingress does not mark what the backend server did not. Red test first: 'never make an answer without a length look complete'.

--- a/src/exchange/body.ts
+++ b/src/exchange/body.ts
@@ -12,22 +12,34 @@
 	readonly stream: Readable | undefined;
 	/** Trailers; complete once the body has ended. */
 	readonly trailers: HeaderList;
+	/** Whether the sender marks the end; else the end of its connection is the end of the body. */
+	readonly isDelimited: boolean;
 }
 
 /**
  * @param bytes - the whole body.
  * @param trailers - trailers after it.
+ * @param isDelimited - whether the sender marks the end of the body.
  * @returns a body that is here as a whole.
  */
-export function createWholeBody(bytes: Uint8Array, trailers: HeaderList = []): Body {
-	return {bytes, stream: undefined, trailers};
+export function createWholeBody(
+	bytes: Uint8Array,
+	trailers: HeaderList = [],
+	isDelimited = true,
+): Body {
+	return {bytes, stream: undefined, trailers, isDelimited};
 }
 
 /**
  * @param stream - the bytes.
  * @param trailers - a list that is filled before the stream ends.
+ * @param isDelimited - whether the sender marks the end of the body.
  * @returns a body that is read once.
  */
-export function createStreamBody(stream: Readable, trailers: HeaderList = []): Body {
-	return {bytes: undefined, stream, trailers};
+export function createStreamBody(
+	stream: Readable,
+	trailers: HeaderList = [],
+	isDelimited = true,
+): Body {
+	return {bytes: undefined, stream, trailers, isDelimited};
 }
--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -11,7 +11,7 @@
 	type AttemptResult,
 } from '../exchange/index.js';
 import {AnswerVerdict, type BackendLoad, type BackendProtocol} from './backend-protocol.js';
-import {stripHeaders} from './headers.js';
+import {hasHeader, stripHeaders} from './headers.js';
 import type {ResetWatch} from './reset-watch.js';
 
 /** What the executor says just before the first byte of a request is written. */
@@ -191,7 +191,7 @@
 			end: AttemptEnd.Answered,
 			status: this.status,
 			headers: stripHeaders(this.headers),
-			body: createStreamBody(stream, this.trailers),
+			body: createStreamBody(stream, this.trailers, isDelimited(this.headers)),
 			load: undefined,
 		});
 	}
@@ -207,7 +207,7 @@
 			end: AttemptEnd.Answered,
 			status: this.status,
 			headers: stripHeaders(this.headers),
-			body: createWholeBody(bytes, this.trailers),
+			body: createWholeBody(bytes, this.trailers, isDelimited(this.headers)),
 			load: undefined,
 		};
 	}
@@ -220,6 +220,11 @@
 	}
 }
 
+// RFC 9112, section 6.3: an answer with neither of these ends with its connection.
+function isDelimited(headers: HeaderList): boolean {
+	return hasHeader(headers, 'content-length') || hasHeader(headers, 'transfer-encoding');
+}
+
 function concat(chunks: readonly Uint8Array[]): Uint8Array {
 	let length = 0;
 	for (const chunk of chunks) {
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -232,6 +232,8 @@
 		extra: HeaderList,
 	): Promise<Outcome> {
 		const {body, status, headers} = result;
+		// Framed anew, an answer that broke off would look complete.
+		res.useChunkedEncodingByDefault = body.isDelimited;
 		this.writeHead(res, status, [...headers, ...extra]);
 		if (body.bytes) {
 			res.end(body.bytes);
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -93,8 +93,8 @@
 		}
 
 		case FrameType.Answer: {
-			const {stream, status, headers, load, body, trailers} = frame;
-			return [type, stream, status, headers, packLoad(load), body, trailers];
+			const {stream, status, headers, load, body, trailers, isDelimited} = frame;
+			return [type, stream, status, headers, packLoad(load), body, trailers, isDelimited];
 		}
 
 		case FrameType.Refused: {
@@ -356,6 +356,7 @@
 		load: fields.load(),
 		body: fields.optionalBytes(),
 		trailers: fields.headers(),
+		isDelimited: fields.flag(),
 	}),
 	[FrameType.Refused]: (fields) => ({
 		type: FrameType.Refused,
--- a/src/link/frame.ts
+++ b/src/link/frame.ts
@@ -117,6 +117,8 @@
 	/** The whole body; undefined when it follows as a stream. */
 	readonly body: Uint8Array | undefined;
 	readonly trailers: HeaderList;
+	/** Whether the backend server marked the end of the body. */
+	readonly isDelimited: boolean;
 }
 
 /** The attempt is proved not to have run. */
--- a/src/link/incoming-attempt.ts
+++ b/src/link/incoming-attempt.ts
@@ -160,8 +160,17 @@
 		const {status, headers, body} = result;
 		const load = result.load ?? noLoad;
 		const {stream} = this.frame;
-		const {bytes, trailers} = body;
-		this.link.send({type: FrameType.Answer, stream, status, headers, load, body: bytes, trailers});
+		const {bytes, trailers, isDelimited} = body;
+		this.link.send({
+			type: FrameType.Answer,
+			stream,
+			status,
+			headers,
+			load,
+			body: bytes,
+			trailers,
+			isDelimited,
+		});
 		if (body.stream) {
 			this.sender = new BodySender({
 				link: this.link,
--- a/src/link/outgoing-attempt.ts
+++ b/src/link/outgoing-attempt.ts
@@ -176,9 +176,9 @@
 			return false;
 		}
 
-		const {status, headers, load, body, trailers} = frame;
+		const {status, headers, load, body, trailers, isDelimited} = frame;
 		if (body) {
-			const whole = createWholeBody(body, trailers);
+			const whole = createWholeBody(body, trailers, isDelimited);
 			this.settle({end: AttemptEnd.Answered, status, headers, load, body: whole});
 			this.end();
 			return true;
@@ -189,7 +189,7 @@
 		receiver.once('close', () => {
 			this.abandonBody(receiver);
 		});
-		const streamed = createStreamBody(receiver, receiver.trailers);
+		const streamed = createStreamBody(receiver, receiver.trailers, isDelimited);
 		this.settle({end: AttemptEnd.Answered, status, headers, load, body: streamed});
 		return true;
 	}
--- a/tests/mesh.test.ts
+++ b/tests/mesh.test.ts
@@ -65,6 +65,25 @@
 		expect(answer.body.endsWith(body)).toBe(true);
 	});
 
+	it('never make an answer without a length look complete', async () => {
+		beta.backend.behavior = ({id}, res) => {
+			const head = `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${id}\r\nX-Server-Signature: s`;
+			res.socket?.end(`${head}\r\nConnection: close\r\n\r\npart`);
+			return true;
+		};
+
+		const near = await mesh.send(beta, {path: '/brief/1'});
+		const far = await mesh.send(alpha, {path: '/brief/1'});
+		for (const {status, body, headers} of [near, far]) {
+			expect({status, body}).toEqual({status: 200, body: 'part'});
+			expect(headers['content-length']).toBeUndefined();
+			expect(headers['transfer-encoding']).toBeUndefined();
+			expect(headers.connection).toBe('close');
+		}
+
+		beta.backend.behavior = () => false;
+	});
+
 	it('answer 404 where no route matches', async () => {
 		expect((await mesh.send(beta, {path: '/none/1'})).status).toBe(404);
 		expect((await mesh.send(beta, {path: '/safe/1', host: 'b.example'})).status).toBe(404);
