Tell inner calls by the request that they extend, order waiting by latest start, collect log lines

Cause: a trial that printed remote addresses showed that callers and backend servers share one, so that every request counted as an inner call and no service earned any retry or hedge. Change: a call is inner when its id extends that of a request that the own backend server runs; a call that others wait for goes before long ones of its rank. Log lines are written together every 100 ms.

--- a/bench/routing.ts
+++ b/bench/routing.ts
@@ -228,6 +228,7 @@
 			deadline: new Deadline(call.startedAt + timeout),
 			objective: new Deadline(call.startedAt + timeout),
 			priority: 0,
+			work: call.service,
 			isBounceable: this.canBounce && call.bounces < maxBounces,
 			start: () => {
 				const isFailing = this.setup.isFailing?.(executor, clock.now()) ?? false;
--- a/src/backend/__tests__/unit/admission.test.ts
+++ b/src/backend/__tests__/unit/admission.test.ts
@@ -16,6 +16,7 @@
 		deadline: new Deadline(at),
 		objective: new Deadline(at),
 		priority: 0,
+		work: 0,
 		isBounceable: false,
 		state: 'waiting',
 		reason: undefined,
--- a/src/backend/__tests__/unit/overload.test.ts
+++ b/src/backend/__tests__/unit/overload.test.ts
@@ -36,6 +36,7 @@
 				deadline: new Deadline(startedAt + timeout),
 				objective: new Deadline(startedAt + timeout),
 				priority: 0,
+				work: serviceTime,
 				isBounceable: false,
 				start() {
 					clock.after(time, () => {
--- a/src/backend/__tests__/unit/pacing.test.ts
+++ b/src/backend/__tests__/unit/pacing.test.ts
@@ -16,13 +16,14 @@
 function playOverload(isHolding: boolean, seed: number): {inTime: number; arrived: number} {
 	const clock = new ManualClock();
 	const random = createRandom(seed);
+	const spells = createRandom(seed + 1000);
 	const speed = new BackendSpeed();
 	const admission = new Admission(clock, {slots, queue: 40});
 	let slowdown = 1;
 	let inTime = 0;
 	let arrived = 0;
 	clock.repeat(spell, () => {
-		slowdown = random.next() < slowShare ? slowness : 1;
+		slowdown = spells.next() < slowShare ? slowness : 1;
 	});
 	// Readings come with answers and probes; here every 40 ms.
 	clock.repeat(40, () => {
@@ -41,6 +42,7 @@
 				customer: '',
 				share: 1,
 				priority: 0,
+				work,
 				objective: new Deadline(startedAt + objective),
 				deadline: new Deadline(startedAt + timeout),
 				isBounceable: false,
@@ -89,6 +91,7 @@
 			customer: '',
 			share: 1,
 			priority: 0,
+			work: 10,
 			objective: new Deadline(1000),
 			deadline: new Deadline(1000),
 			isBounceable: false,
@@ -126,8 +129,9 @@
 });
 
 describe('compareUrgency', () => {
-	const place = (priority: number, objectiveAt: Millis, deadlineAt: Millis) => ({
+	const place = (priority: number, objectiveAt: Millis, deadlineAt: Millis, length = 100) => ({
 		priority,
+		work: length,
 		objective: new Deadline(objectiveAt),
 		deadline: new Deadline(deadlineAt),
 	});
@@ -135,12 +139,18 @@
 	it('puts late calls behind those that can still be in time, whatever their rank', () => {
 		const late = place(0, 50, 900);
 		const fresh = place(2, 500, 900);
-		expect(compareUrgency(fresh, late, 0, 100)).toBeLessThan(0);
+		expect(compareUrgency(fresh, late, 0)).toBeLessThan(0);
+	});
+
+	it('puts a short call that others wait for before a long one of its rank', () => {
+		const inner = place(1, 150, 250, 20);
+		const long = place(1, 300, 900, 120);
+		expect(compareUrgency(inner, long, 0)).toBeLessThan(0);
 	});
 
 	it('orders by rank, then by objective; late ones by deadline', () => {
-		expect(compareUrgency(place(0, 500, 900), place(1, 300, 900), 0, 100)).toBeLessThan(0);
-		expect(compareUrgency(place(1, 300, 900), place(1, 500, 900), 0, 100)).toBeLessThan(0);
-		expect(compareUrgency(place(1, 10, 400), place(1, 5, 900), 0, 100)).toBeLessThan(0);
+		expect(compareUrgency(place(0, 500, 900), place(1, 300, 900), 0)).toBeLessThan(0);
+		expect(compareUrgency(place(1, 300, 900), place(1, 500, 900), 0)).toBeLessThan(0);
+		expect(compareUrgency(place(1, 10, 400), place(1, 5, 900), 0)).toBeLessThan(0);
 	});
 });
--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -286,7 +286,7 @@
 	}
 
 	private compare(a: Ticket, b: Ticket): number {
-		return compareUrgency(a, b, this.clock.now(), this.serviceTime.average);
+		return compareUrgency(a, b, this.clock.now());
 	}
 
 	private pressure(ticket: Ticket): number {
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -155,6 +155,21 @@
 		return this.ledger.askAndFence(id, this.parts.clock.now());
 	}
 
+	/**
+	 * @param requestId - id of a request.
+	 * @returns whether it extends the id of a request that runs here, as ids of inner calls do.
+	 */
+	isRunningParentOf(requestId: string): boolean {
+		for (const {head} of this.inFlight.keys()) {
+			const parent = head.origin.requestId;
+			if (requestId.length > parent.length && requestId.startsWith(parent)) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	async run(attempt: Attempt): Promise<AttemptResult> {
 		const result = await this.admit(attempt);
 		if (result.end === AttemptEnd.Refused) {
@@ -200,6 +215,7 @@
 		const ticket: Ticket = {
 			priority: attempt.head.origin.priority,
 			objective: attempt.objective,
+			work: this.profiles.of(attempt.head.origin.route, attempt.objective.timeLeft(askedAt)).work,
 			customer: attempt.head.customer,
 			share: attempt.share,
 			deadline: attempt.deadline,
--- /dev/null
+++ b/src/telemetry/__tests__/unit/line-writer.test.ts
@@ -0,0 +1,74 @@
+import {describe, expect, it, vi} from 'vitest';
+import {LineWriter, type Sink} from '../../line-writer.js';
+
+/** A reader that takes nothing until it is told to. */
+class StuckSink implements Sink {
+	readonly written: string[] = [];
+	private waiting: Array<() => void> = [];
+
+	write(bytes: Uint8Array, done: (err: Error | undefined) => void): void {
+		this.waiting.push(() => {
+			this.written.push(new TextDecoder().decode(bytes));
+			done(undefined);
+		});
+	}
+
+	writeNow(bytes: Uint8Array): void {
+		this.written.push(new TextDecoder().decode(bytes));
+	}
+
+	release(): void {
+		for (const run of this.waiting.splice(0)) {
+			run();
+		}
+	}
+}
+
+describe('LineWriter', () => {
+	it('neither blocks nor grows while its reader is stuck, and counts what it drops', () => {
+		vi.useFakeTimers();
+		const sink = new StuckSink();
+		const writer = new LineWriter(sink, () => 0, {pendingBytes: 30, linesPerSecond: 1000});
+		for (let i = 0; i < 10; i++) {
+			writer.write('0123456789');
+		}
+
+		vi.advanceTimersByTime(1000);
+		expect(writer.takeDropped()).toBe(7);
+		expect(writer.takeDropped()).toBe(0);
+		sink.release();
+		expect(sink.written.join('')).toBe('0123456789'.repeat(3));
+		writer.write('again');
+		vi.advanceTimersByTime(1000);
+		sink.release();
+		expect(sink.written.at(-1)).toBe('again');
+		vi.useRealTimers();
+	});
+
+	it('bounds the lines a second', () => {
+		let now = 0;
+		const writer = new LineWriter(new StuckSink(), () => now, {
+			pendingBytes: 1_000_000,
+			linesPerSecond: 5,
+		});
+		const writeSome = () => {
+			for (let i = 0; i < 20; i++) {
+				writer.write('x');
+			}
+		};
+
+		writeSome();
+		expect(writer.takeDropped()).toBe(15);
+		now = 1000;
+		writeSome();
+		expect(writer.takeDropped()).toBe(15);
+	});
+
+	it('writes what waits when the process ends', () => {
+		const sink = new StuckSink();
+		const writer = new LineWriter(sink, () => 0);
+		writer.write('last words');
+		writer.flushNow();
+		expect(sink.written).toEqual(['last words']);
+	});
+});
--- a/src/telemetry/line-writer.ts
+++ b/src/telemetry/line-writer.ts
@@ -1,8 +1,19 @@
-import {write} from 'node:fs';
+import {write, writeSync} from 'node:fs';
 import {Writable} from 'node:stream';
 
-/** Takes bytes somewhere, and says when it has. */
-export type Sink = (bytes: Uint8Array, done: (err: Error | null) => void) => void; // eslint-disable-line @typescript-eslint/no-restricted-types
+/** Takes bytes somewhere. */
+export interface Sink {
+	/**
+	 * @param bytes - what to write.
+	 * @param done - called when it is written or could not be.
+	 */
+	write(bytes: Uint8Array, done: (err: Error | undefined) => void): void;
+	/**
+	 * Writes at once, as the process ends.
+	 * @param bytes - what to write.
+	 */
+	writeNow(bytes: Uint8Array): void;
+}
 
 /** Bounds of what a writer takes. */
 export interface LineLimits {
@@ -16,6 +27,9 @@
 export const defaultLineLimits: LineLimits = {pendingBytes: 1_048_576, linesPerSecond: 600};
 
 const millisPerSecond = 1000;
+/** Lines are collected for so long, as each write costs several calls of the system, in ms. */
+const collectTime = 100;
+const retryTime = 10;
 
 /**
  * Writes log lines without ever blocking the loop or growing without bound: what a slow reader does
@@ -25,6 +39,7 @@
 	private pending: Uint8Array[] = [];
 	private pendingBytes = 0;
 	private isWriting = false;
+	private isScheduled = false;
 	private tokens: number;
 	private refilledAt: number;
 	private droppedLines = 0;
@@ -50,7 +65,7 @@
 		if (this.mayTake(chunk.length)) {
 			this.pending.push(chunk);
 			this.pendingBytes += chunk.length;
-			this.flush();
+			this.flushLater();
 		} else {
 			this.droppedLines += 1;
 		}
@@ -72,6 +87,24 @@
 		return true;
 	}
 
+	/** Writes what waits at once, as the process ends. */
+	flushNow(): void {
+		if (this.pending.length > 0) {
+			this.sink.writeNow(joinBytes(this.pending));
+			this.pending = [];
+		}
+	}
+
+	private flushLater(): void {
+		if (!this.isScheduled) {
+			this.isScheduled = true;
+			setTimeout(() => {
+				this.isScheduled = false;
+				this.flush();
+			}, collectTime).unref();
+		}
+	}
+
 	private flush(): void {
 		if (this.isWriting || this.pending.length === 0) {
 			return;
@@ -80,7 +113,7 @@
 		const bytes = joinBytes(this.pending);
 		this.pending = [];
 		this.isWriting = true;
-		this.sink(bytes, (err) => {
+		this.sink.write(bytes, (err) => {
 			this.isWriting = false;
 			this.pendingBytes -= bytes.length;
 			if (err) {
@@ -92,24 +125,31 @@
 	}
 }
 
-/**
- * @param descriptor - an open file.
- * @returns a sink that writes to it off the loop.
- */
-export function createFileSink(descriptor: number): Sink {
-	const writeAll: Sink = (bytes, done) => {
-		write(descriptor, bytes, (err, written) => {
+/** Writes to an open file off the loop. */
+export class FileSink implements Sink {
+	constructor(private readonly descriptor: number) {}
+
+	write(bytes: Uint8Array, done: (err: Error | undefined) => void): void {
+		write(this.descriptor, bytes, (err, written) => {
 			if (err?.code === 'EAGAIN') {
-				setTimeout(writeAll, 10, bytes, done);
+				setTimeout(() => {
+					this.write(bytes, done);
+				}, retryTime);
 			} else if (err || written === bytes.length) {
-				done(err);
+				done(err ?? undefined);
 			} else {
-				writeAll(bytes.subarray(written), done);
+				this.write(bytes.subarray(written), done);
 			}
 		});
-	};
+	}
 
-	return writeAll;
+	writeNow(bytes: Uint8Array): void {
+		try {
+			writeSync(this.descriptor, bytes);
+		} catch {
+			// The reader is gone or full, and the process ends: there is nowhere to tell it.
+		}
+	}
 }
 
 function joinBytes(chunks: readonly Uint8Array[]): Uint8Array {
--- a/src/telemetry/logger.ts
+++ b/src/telemetry/logger.ts
@@ -1,7 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import winston from 'winston';
-import {createFileSink, LineWriter} from './line-writer.js';
+import {FileSink, LineWriter} from './line-writer.js';
 import {logEvents, type LogEvent} from './log-event.js';
 
 /** How log lines are written. */
@@ -39,7 +39,10 @@
 export function createLogger(form: LogForm, level: string): Logger {
 	const {combine, json, printf, timestamp} = winston.format;
 	const line = form === LogForm.Json ? json() : printf(humanLine);
-	const writer = new LineWriter(createFileSink(process.stdout.fd), () => performance.now());
+	const writer = new LineWriter(new FileSink(process.stdout.fd), () => performance.now());
+	process.once('exit', () => {
+		writer.flushNow();
+	});
 	const target = winston.createLogger({
 		level,
 		format: combine(timestamp(), line),
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -30,7 +30,11 @@
 	 */
 	createStore(metrics: Metrics): RoutedStore;
 	readonly source: ConfigurationSource;
-	readonly callerProtocol: CallerProtocol;
+	/**
+	 * @param isInnerCall - tells by its id whether a request is part of another one.
+	 * @returns the protocol towards callers.
+	 */
+	createCallerProtocol(isInnerCall: (requestId: string) => boolean): CallerProtocol;
 	readonly backendProtocol: BackendProtocol;
 	/** Path of the question whether the node is ready, with its method. */
 	readonly readinessRoute: string;
@@ -87,7 +91,7 @@
 		this.core = new NodeCore(settings, clock, logger, this.createHooks());
 		const {gossip, hub, keeper, metrics, random, executor, backend, runner} = this.core;
 		this.placement = this.core.placement as ObjectivePlacement;
-		const {source, callerProtocol, backendProtocol} = surroundings;
+		const {source, backendProtocol} = surroundings;
 		this.store = surroundings.createStore(metrics);
 		const {store} = this;
 		this.news = new LoadNews({clock, gossip, hub, report: () => executor.report()});
@@ -116,7 +120,7 @@
 			clock,
 			metrics,
 			logger,
-			protocol: callerProtocol,
+			protocol: surroundings.createCallerProtocol((id) => executor.isRunningParentOf(id)),
 			keyedCalls: undefined,
 			configuration: () => (this.core.isTakingCalls ? keeper.inForce : undefined),
 			runCall: async (call) => runner.run(call),
