--- a/bench/routing.ts
+++ b/bench/routing.ts
@@ -235,7 +235,10 @@
 				const slowness = this.setup.slowness?.(executor, clock.now()) ?? 1;
 				clock.after(isFailing ? 1 : call.service * slowness, () => {
 					admission.release(ticket, isFailing);
-					told(isFailing ? RefusalReason.BackendLost : undefined, {...admission.report(), slowdown: 1});
+					told(isFailing ? RefusalReason.BackendLost : undefined, {
+						...admission.report(),
+						slowdown: 1,
+					});
 				});
 			},
 			refuse(reason) {
--- a/scaffold/mesh/mesh-backend.ts
+++ b/scaffold/mesh/mesh-backend.ts
@@ -25,12 +25,15 @@
 	readonly born: number;
 }
 
+/** The behavior of a backend server without a fault. */
+export const serveNormally: Behavior = () => false;
+
 const announcePeriod = 300;
 
 /** Speaks the platform's protocol: ids, signatures, expected instances, heartbeats. */
 export class MeshBackend {
 	readonly seen: SeenRequest[] = [];
-	behavior: Behavior = () => false;
+	behavior: Behavior = serveNormally;
 	/** Time that a request takes, in ms. */
 	work = 5;
 	state = 'ready';
--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -1,7 +1,7 @@
 /** Nodes of the users' platform as processes on loopback, with a stand-in store and backend servers. */
 import {Buffer} from 'node:buffer';
 import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
-import {Agent, request as httpRequest} from 'node:http';
+import {type Agent, request as httpRequest} from 'node:http';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -85,7 +85,7 @@
 	readonly nodes: MeshNode[] = [];
 	private readonly folder = mkdtempSync(join(tmpdir(), 'mesh-'));
 	private readonly group = new ProcessGroup(this.folder);
-	private version = 0;
+	private newest = 0;
 
 	constructor(private readonly subnet: number) {}
 
@@ -131,8 +131,8 @@
 	}
 
 	/** Writes a configuration as the operator does. */
-	async configure(routes: readonly MeshRoute[], version = this.version + 1): Promise<void> {
-		this.version = Math.max(this.version, version);
+	async configure(routes: readonly MeshRoute[], version = this.newest + 1): Promise<void> {
+		this.newest = Math.max(this.newest, version);
 		const services = new Set(routes.map((route) => route.service));
 		const value = {
 			version,
@@ -183,19 +183,37 @@
 		return (await res.json()) as {revision: {inForce: number}; members: number};
 	}
 
+	/** @returns the configuration version in force at the node. */
+	async version(node: MeshNode): Promise<number> {
+		const status = await this.status(node);
+		return status.revision.inForce;
+	}
+
+	/** @returns the HTTP status that a caller gets. */
+	async statusFor(node: MeshNode, req: MeshRequest): Promise<number> {
+		const answer = await this.send(node, req);
+		return answer.status;
+	}
+
 	/** Waits until every node is ready, knows all others, and has its backend server. */
 	async settle(): Promise<void> {
 		for (const node of this.nodes) {
 			await eventually(async () => this.isReady(node));
-			await eventually(async () => (await this.status(node)).members === this.nodes.length);
+			await eventually(async () => {
+				const {members} = await this.status(node);
+				return members === this.nodes.length;
+			});
 		}
 	}
 
 	async send(node: MeshNode, req: MeshRequest): Promise<MeshAnswer> {
 		nextId += 1;
 		const {host = 'a.example', method = 'GET', path, body, id = `r${nextId}`} = req;
-		const headers: Record<string, string> = {host, 'x-attempt-id': id};
-		headers['x-request-deadline'] = String(req.deadline ?? 2000);
+		const headers: Record<string, string> = {
+			host,
+			'x-attempt-id': id,
+			'x-request-deadline': String(req.deadline ?? 2000),
+		};
 		if (body !== undefined) {
 			headers['content-length'] = String(Buffer.byteLength(body));
 		}
--- a/scaffold/stand-ins/platform-store.ts
+++ b/scaffold/stand-ins/platform-store.ts
@@ -175,7 +175,7 @@
 }
 
 async function answer(method: string, url: URL, body: string): Promise<Answer> {
-	const [, , call = '', name = ''] = url.pathname.split('/');
+	const [call = '', name = ''] = url.pathname.split('/').slice(2);
 	if (method === 'POST' && call === 'rows-tx') {
 		counts.writes += 1;
 		return commit(JSON.parse(body) as Transaction);
--- a/src/backend/__tests__/unit/pacing.test.ts
+++ b/src/backend/__tests__/unit/pacing.test.ts
@@ -33,35 +33,37 @@
 	clock.repeat(10, () => {
 		admission.sweep();
 	});
+	const arrive = () => {
+		arrived += 1;
+		const startedAt = clock.now();
+		const ticket: Ticket = {
+			customer: '',
+			share: 1,
+			priority: 0,
+			work,
+			objective: new Deadline(startedAt + objective),
+			deadline: new Deadline(startedAt + timeout),
+			isBounceable: false,
+			holdTime() {
+				const spellLeft = speed.spellLeft();
+				const {lastSlowdown, isSlow} = speed;
+				const isHeld = isSlow && isWorthHolding({work, slowdown: lastSlowdown, spellLeft});
+				return isHolding && isHeld ? spellLeft : 0;
+			},
+			start() {
+				clock.after(work * slowdown * (0.7 + 0.6 * random.next()), () => {
+					admission.release(ticket, false);
+					inTime += clock.now() - startedAt <= objective ? 1 : 0;
+				});
+			},
+			refuse: () => undefined,
+		};
+		admission.request(ticket);
+	};
+
 	const spacing = work / slots / 0.7;
 	for (let at = 0; at < 60_000; at += spacing) {
-		clock.after(at, () => {
-			arrived += 1;
-			const startedAt = clock.now();
-			const ticket: Ticket = {
-				customer: '',
-				share: 1,
-				priority: 0,
-				work,
-				objective: new Deadline(startedAt + objective),
-				deadline: new Deadline(startedAt + timeout),
-				isBounceable: false,
-				holdTime() {
-					const spellLeft = speed.spellLeft();
-					const {lastSlowdown, isSlow} = speed;
-					const isHeld = isSlow && isWorthHolding({work, slowdown: lastSlowdown, spellLeft});
-					return isHolding && isHeld ? spellLeft : 0;
-				},
-				start() {
-					clock.after(work * slowdown * (0.7 + 0.6 * random.next()), () => {
-						admission.release(ticket, false);
-						inTime += clock.now() - startedAt <= objective ? 1 : 0;
-					});
-				},
-				refuse: () => undefined,
-			};
-			admission.request(ticket);
-		});
+		clock.after(at, arrive);
 	}
 
 	clock.advance(62_000);
--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -132,6 +132,20 @@
 		}
 	}
 
+	/** Starts what may start; called when the backend server has become fast again. */
+	fill(): void {
+		this.sweep();
+		while (this.running.size < this.limits.slots) {
+			const ticket = this.nextTicket();
+			if (!ticket) {
+				return;
+			}
+
+			this.withdraw(ticket);
+			this.begin(ticket);
+		}
+	}
+
 	/** @returns the load at this moment. */
 	report(): Omit<LoadReport, 'slowdown'> {
 		return {
@@ -250,20 +264,6 @@
 		this.use(ticket).queued += 1;
 	}
 
-	/** Starts what may start; called when the backend server has become fast again. */
-	fill(): void {
-		this.sweep();
-		while (this.running.size < this.limits.slots) {
-			const ticket = this.nextTicket();
-			if (!ticket) {
-				return;
-			}
-
-			this.withdraw(ticket);
-			this.begin(ticket);
-		}
-	}
-
 	private nextTicket(): Ticket | undefined {
 		let best: Ticket | undefined;
 		for (const ticket of this.queue) {
--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -1,7 +1,6 @@
 import {minute, type Clock, type Millis} from '../clock/index.js';
 import {isPresent, type Gossip} from '../membership/index.js';
-import {Expect, type Row, type TableService} from '../store/index.js';
-import {StoreUnavailableError} from '../store/index.js';
+import {Expect, type Row, type TableService, StoreUnavailableError} from '../store/index.js';
 import {logEvents, type Logger} from '../telemetry/index.js';
 import {pause, rendezvous} from '../util/index.js';
 import {memberPrefix} from './store-keys.js';
@@ -33,7 +32,7 @@
 	constructor(private readonly parts: RosterParts) {}
 
 	/** Registers this node and joins the others; goes on until the store has answered. */
-	async join(): Promise<void> {
+	async enroll(): Promise<void> {
 		const {clock, gossip, logger} = this.parts;
 		while (!this.isStopped) {
 			try {
@@ -56,7 +55,7 @@
 
 	/** Starts keeping the rows true. */
 	start(): void {
-		void this.join();
+		void this.enroll();
 		this.parts.clock.repeat(auditPeriod, () => {
 			void this.audit();
 		});
--- a/src/declaration/declaration-index.ts
+++ b/src/declaration/declaration-index.ts
@@ -1,4 +1,10 @@
-import type {CallPolicy, Declaration, LinkBudget, RoutePolicy, ServicePolicy} from './declaration.js';
+import type {
+	CallPolicy,
+	Declaration,
+	LinkBudget,
+	RoutePolicy,
+	ServicePolicy,
+} from './declaration.js';
 import {RouteTable} from './route-table.js';
 
 /** Looks up policies of one revision. A call keeps the index that it started with. */
@@ -46,7 +52,7 @@
 	 * @returns the route that takes it; undefined when there is none.
 	 */
 	route(host: string, path: string): RoutePolicy | undefined {
-		return this.routes.find(host, path);
+		return this.routes.lookUp(host, path);
 	}
 
 	/**
--- a/src/declaration/route-table.ts
+++ b/src/declaration/route-table.ts
@@ -20,7 +20,7 @@
 	 * @param path - path of the request; a query does not count.
 	 * @returns the route with the longest prefix; undefined when there is none.
 	 */
-	find(host: string, path: string): RoutePolicy | undefined {
+	lookUp(host: string, path: string): RoutePolicy | undefined {
 		const prefixes = this.hosts.get(host.toLowerCase());
 		if (!prefixes) {
 			return undefined;
--- a/src/executor/__tests__/unit/backend-client.test.ts
+++ b/src/executor/__tests__/unit/backend-client.test.ts
@@ -72,12 +72,16 @@
 	});
 	const ends: BackendCallEnd[] = [];
 	const send = async (requestId = 'r1'): Promise<AttemptResult> =>
-		client.send(createAttempt(requestId), {check: () => undefined}, {
-			loadRead: () => undefined,
-			ended(end) {
-				ends.push(end);
+		client.send(
+			createAttempt(requestId),
+			{check: () => undefined},
+			{
+				loadRead: () => undefined,
+				ended(end) {
+					ends.push(end);
+				},
 			},
-		});
+		);
 	return {send, ends};
 }
 
--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -79,7 +79,7 @@
 	private verdict = AnswerVerdict.Answer;
 	private headers: HeaderList = [];
 	private readonly trailers: HeaderList = [];
-	private chunks: Uint8Array[] = [];
+	private readonly chunks: Uint8Array[] = [];
 	private heldBytes = 0;
 	private stream: PassThrough | undefined;
 
@@ -160,7 +160,9 @@
 		const isForeign = err instanceof ForeignAnswerError;
 		this.end({isFailure: !isAborted, isBroken: !isAborted && !isForeign});
 		this.stream?.destroy(err);
-		this.parts.resolve(createUnknown(isAborted ? RefusalReason.Canceled : RefusalReason.BackendLost));
+		this.parts.resolve(
+			createUnknown(isAborted ? RefusalReason.Canceled : RefusalReason.BackendLost),
+		);
 	}
 
 	/** Tells the backend server that nobody waits for the answer. */
--- a/src/executor/backend-client.ts
+++ b/src/executor/backend-client.ts
@@ -3,7 +3,12 @@
 import type {Clock} from '../clock/index.js';
 import {inlineBodyBytes, type Attempt, type AttemptResult} from '../exchange/index.js';
 import {formatEndpoint, type Endpoint} from '../settings/index.js';
-import {AbortedError, BackendCall, type BackendCallListener, type WriteGate} from './backend-call.js';
+import {
+	AbortedError,
+	BackendCall,
+	type BackendCallListener,
+	type WriteGate,
+} from './backend-call.js';
 import type {BackendProtocol} from './backend-protocol.js';
 import {ResetWatch} from './reset-watch.js';
 
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -1,4 +1,11 @@
-import {Admission, BackendSpeed, Crowding, isWorthHolding, type AdmissionLimits, type Ticket} from '../backend/index.js';
+import {
+	Admission,
+	BackendSpeed,
+	Crowding,
+	isWorthHolding,
+	type AdmissionLimits,
+	type Ticket,
+} from '../backend/index.js';
 import {
 	AttemptLedger,
 	RefusalReason,
@@ -103,6 +110,11 @@
 		return this.admission.inFlight + this.admission.queued;
 	}
 
+	/** Age of what is known of the backend server's speed, in ms. */
+	get speedAge(): Millis {
+		return this.speed.age(this.parts.clock.now());
+	}
+
 	/** Service of the backend server; undefined while there is none. */
 	get service(): string | undefined {
 		return this.target?.service;
@@ -170,6 +182,20 @@
 		return false;
 	}
 
+	/**
+	 * The backend server told how fast it works.
+	 * @param slowdown - how many times longer than usual work takes.
+	 */
+	readSpeed(slowdown: number): void {
+		const now = this.parts.clock.now();
+		const before = this.speed.slowdown(now);
+		this.speed.read(slowdown, now);
+		this.admission.fill();
+		if (Math.max(before / slowdown, slowdown / before) > notableChange) {
+			this.parts.noteLoadChanged();
+		}
+	}
+
 	async run(attempt: Attempt): Promise<AttemptResult> {
 		const result = await this.admit(attempt);
 		if (result.end === AttemptEnd.Refused) {
@@ -375,25 +401,6 @@
 		this.noteLevel();
 	}
 
-	/**
-	 * The backend server told how fast it works.
-	 * @param slowdown - how many times longer than usual work takes.
-	 */
-	readSpeed(slowdown: number): void {
-		const now = this.parts.clock.now();
-		const before = this.speed.slowdown(now);
-		this.speed.read(slowdown, now);
-		this.admission.fill();
-		if (Math.max(before / slowdown, slowdown / before) > notableChange) {
-			this.parts.noteLoadChanged();
-		}
-	}
-
-	/** Age of what is known of the backend server's speed, in ms. */
-	get speedAge(): Millis {
-		return this.speed.age(this.parts.clock.now());
-	}
-
 	private learn(attempt: Attempt, running: Running, isFailure: boolean): void {
 		const isWhole = !isFailure && !attempt.cancellation.isCanceled;
 		if (!isWhole || running.slowdown > usualSpeed) {
@@ -408,7 +415,12 @@
 		}
 	}
 
-	private logEnded(attempt: Attempt, running: Running, isFailure: boolean, isBroken: boolean): void {
+	private logEnded(
+		attempt: Attempt,
+		running: Running,
+		isFailure: boolean,
+		isBroken: boolean,
+	): void {
 		const now = this.parts.clock.now();
 		this.parts.logger.log(logEvents.attemptEnded, {
 			request: attempt.head.origin.requestId,
--- a/src/ingress/__tests__/unit/call-runner.test.ts
+++ b/src/ingress/__tests__/unit/call-runner.test.ts
@@ -18,7 +18,14 @@
 import {Metrics, silentLogger} from '../../../telemetry/index.js';
 import {CallRunner, NearestFirstPlacement} from '../../index.js';
 
-const load: LoadReport = {inFlight: 0, queued: 0, slots: 10, serviceTime: 10, failureShare: 0, slowdown: 1};
+const load: LoadReport = {
+	inFlight: 0,
+	queued: 0,
+	slots: 10,
+	serviceTime: 10,
+	failureShare: 0,
+	slowdown: 1,
+};
 const service: ServicePolicy = {
 	service: 's',
 	kind: 'k',
--- a/src/ingress/hedge.ts
+++ b/src/ingress/hedge.ts
@@ -1,5 +1,4 @@
-import type {Cancellation, AttemptResult} from '../exchange/index.js';
-import {AttemptEnd} from '../exchange/index.js';
+import {type Cancellation, type AttemptResult, AttemptEnd} from '../exchange/index.js';
 import {withResolvers} from '../util/index.js';
 
 const serverErrorStatus = 500;
--- a/src/link/__tests__/unit/frame-codec.test.ts
+++ b/src/link/__tests__/unit/frame-codec.test.ts
@@ -10,7 +10,14 @@
 	type Frame,
 } from '../../index.js';
 
-const load = {inFlight: 3, queued: 1, slots: 10, serviceTime: 12.5, failureShare: 0.25, slowdown: 7};
+const load = {
+	inFlight: 3,
+	queued: 1,
+	slots: 10,
+	serviceTime: 12.5,
+	failureShare: 0.25,
+	slowdown: 7,
+};
 const frames: Frame[] = [
 	{type: FrameType.Challenge, version: 1, nonce: 'n'},
 	{type: FrameType.Hello, version: 1, id: 'a', instance: 'i', region: 'r', nonce: 'n', proof: 'p'},
--- a/src/link/frame.ts
+++ b/src/link/frame.ts
@@ -1,4 +1,10 @@
-import type {AttemptState, HeaderList, LoadReport, RefusalReason, RequestOrigin} from '../call/index.js';
+import type {
+	AttemptState,
+	HeaderList,
+	LoadReport,
+	RefusalReason,
+	RequestOrigin,
+} from '../call/index.js';
 import type {Millis} from '../clock/index.js';
 
 /** Version of the link protocol; peers of another version are turned away. */
--- a/src/link/incoming-attempt.ts
+++ b/src/link/incoming-attempt.ts
@@ -52,7 +52,8 @@
 	 */
 	toAttempt(instance: string, now: Millis, staleness: Millis): Attempt {
 		const {sequence, share, isBounceable, timeLeft, objectiveLeft} = this.frame;
-		const {service, customer, method, path, headers, isIdempotent, key, fingerprint, origin} = this.frame;
+		const {service, customer, method, path, headers, isIdempotent, key, fingerprint, origin} =
+			this.frame;
 		return {
 			id: {instance, sequence},
 			head: {service, customer, method, path, headers, isIdempotent, key, origin, fingerprint},
--- a/src/node/__tests__/unit/backend-keeper.test.ts
+++ b/src/node/__tests__/unit/backend-keeper.test.ts
@@ -3,12 +3,7 @@
 import {ManualClock, type Millis} from '../../../clock/index.js';
 import {RevisionKeeper} from '../../../declaration/index.js';
 import {Executor, TurmericBackendProtocol} from '../../../executor/index.js';
-import {
-	createSelf,
-	defaultGossipSettings,
-	Gossip,
-	MemberPhase,
-} from '../../../membership/index.js';
+import {createSelf, defaultGossipSettings, Gossip, MemberPhase} from '../../../membership/index.js';
 import {createRandom} from '../../../random/index.js';
 import {Metrics, silentLogger} from '../../../telemetry/index.js';
 import {AnnouncedState, type Announcement} from '../../announcement.js';
@@ -57,7 +52,11 @@
 	return {clock, gossip, executor, keeper};
 }
 
-function announce(startedAt: Millis, sequence: number, change?: Partial<Announcement>): Announcement {
+function announce(
+	startedAt: Millis,
+	sequence: number,
+	change?: Partial<Announcement>,
+): Announcement {
 	return {
 		service: 's',
 		address: '127.0.0.1',
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -6,7 +6,11 @@
 } from './baselines.js';
 export {findCandidates, isOtherRegionNeeded, type Candidates} from './candidates.js';
 export type {AttemptNews, Placement, PlacementQuery} from './placement.js';
-export {ObjectivePlacement, type ObjectivePlacementParts, type WayCosts} from './objective-placement.js';
+export {
+	ObjectivePlacement,
+	type ObjectivePlacementParts,
+	type WayCosts,
+} from './objective-placement.js';
 export {CallProfiles, type CallProfile} from './call-profiles.js';
 export {WeightedSplit} from './weighted-split.js';
 export {ExpectedWaitPolicy} from './expected-wait-policy.js';
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -1,4 +1,4 @@
-import {RefusalReason} from '../call/index.js';
+import {RefusalReason, type LoadReport} from '../call/index.js';
 import type {Clock, Millis} from '../clock/index.js';
 import {
 	Distance,
@@ -7,7 +7,6 @@
 	type Directory,
 	type Member,
 } from '../membership/index.js';
-import type {LoadReport} from '../call/index.js';
 import {CallProfiles} from './call-profiles.js';
 import {expectedLoss, expectedTime} from './expected-time.js';
 import {createView, type ExecutorView} from './executor-view.js';
--- a/src/telemetry/__tests__/unit/line-writer.test.ts
+++ b/src/telemetry/__tests__/unit/line-writer.test.ts
@@ -4,7 +4,7 @@
 /** A reader that takes nothing until it is told to. */
 class StuckSink implements Sink {
 	readonly written: string[] = [];
-	private waiting: Array<() => void> = [];
+	private readonly waiting: Array<() => void> = [];
 
 	write(bytes: Uint8Array, done: (err: Error | undefined) => void): void {
 		this.waiting.push(() => {
--- a/src/telemetry/line-writer.ts
+++ b/src/telemetry/line-writer.ts
@@ -61,6 +61,14 @@
 		return dropped;
 	}
 
+	/** Writes what waits at once, as the process ends. */
+	flushNow(): void {
+		if (this.pending.length > 0) {
+			this.sink.writeNow(joinBytes(this.pending));
+			this.pending = [];
+		}
+	}
+
 	override _write(chunk: Uint8Array, _encoding: string, done: () => void): void {
 		if (this.mayTake(chunk.length)) {
 			this.pending.push(chunk);
@@ -87,14 +95,6 @@
 		return true;
 	}
 
-	/** Writes what waits at once, as the process ends. */
-	flushNow(): void {
-		if (this.pending.length > 0) {
-			this.sink.writeNow(joinBytes(this.pending));
-			this.pending = [];
-		}
-	}
-
 	private flushLater(): void {
 		if (!this.isScheduled) {
 			this.isScheduled = true;
@@ -135,7 +135,7 @@
 				setTimeout(() => {
 					this.write(bytes, done);
 				}, retryTime);
-			} else if (err || written === bytes.length) {
+			} else if (Boolean(err) || written === bytes.length) {
 				done(err ?? undefined);
 			} else {
 				this.write(bytes.subarray(written), done);
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -31,6 +31,11 @@
 export interface CoreHooks {
 	readonly backendProtocol: BackendProtocol;
 	readonly silenceLimit: Millis | undefined;
+	/** A peer tells the load of its backend server. */
+	readonly peerLoad: HubHost['peerLoad'];
+	readonly takeHandover: HubHost['takeHandover'];
+	/** Runs attempts that are sent to this node as the home of a key. */
+	readonly homeRunner: AttemptRunner;
 	/** @returns what places calls. */
 	createPlacement(core: NodeCore): Placement;
 	/** @returns what this node may save up of the budgets for further attempts. */
@@ -42,11 +47,6 @@
 	hearRevisionNews(news: RevisionNews, from: string): void;
 	hearHeld(held: Held): void;
 	hearRumor(rumor: Rumor): void;
-	/** A peer tells the load of its backend server. */
-	peerLoad: HubHost['peerLoad'];
-	takeHandover: HubHost['takeHandover'];
-	/** Runs attempts that are sent to this node as the home of a key. */
-	readonly homeRunner: AttemptRunner;
 }
 
 const randomBound = 1024;
@@ -114,8 +114,7 @@
 			placement: this.placement,
 			instance: this.instance,
 			budgetBursts: () => hooks.budgetBursts(),
-			runnerTo: (executor) =>
-				executor === this.id ? this.executor : this.hub.runnerTo(executor),
+			runnerTo: (executor) => (executor === this.id ? this.executor : this.hub.runnerTo(executor)),
 		});
 		this.watchMembers();
 	}
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -5,7 +5,14 @@
 import {RefusalReason} from '../call/index.js';
 import type {BackendProtocol} from '../executor/index.js';
 import {Ingress, type BudgetBursts, type CallerProtocol} from '../ingress/index.js';
-import {Distance, distanceBetween, isPresent, isRoutable, MemberPhase, type Member} from '../membership/index.js';
+import {
+	Distance,
+	distanceBetween,
+	isPresent,
+	isRoutable,
+	MemberPhase,
+	type Member,
+} from '../membership/index.js';
 import {BackendFinder} from '../node/backend-finder.js';
 import {BackendProbe, type ProbeRate} from '../node/backend-probe.js';
 import {LoadNews} from '../node/load-news.js';
@@ -24,20 +31,20 @@
 
 /** How a routed node speaks to what surrounds it. */
 export interface Surroundings {
+	readonly source: ConfigurationSource;
+	readonly backendProtocol: BackendProtocol;
+	/** Path of the question whether the node is ready, with its method. */
+	readonly readinessRoute: string;
 	/**
 	 * @param metrics - counts what is asked.
 	 * @returns the client of the platform's store.
 	 */
 	createStore(metrics: Metrics): RoutedStore;
-	readonly source: ConfigurationSource;
 	/**
 	 * @param isInnerCall - tells by its id whether a request is part of another one.
 	 * @returns the protocol towards callers.
 	 */
 	createCallerProtocol(isInnerCall: (requestId: string) => boolean): CallerProtocol;
-	readonly backendProtocol: BackendProtocol;
-	/** Path of the question whether the node is ready, with its method. */
-	readonly readinessRoute: string;
 	/** Registers what the backend server may say of itself. */
 	registerAnnouncements(server: OperatorServer, node: RoutedNode): void;
 }
@@ -69,7 +76,7 @@
 export class RoutedNode {
 	readonly core: NodeCore;
 	readonly keyedCalls = undefined;
-	private readonly placement: ObjectivePlacement;
+	private placement: ObjectivePlacement | undefined;
 	private readonly store: RoutedStore;
 	private readonly feed: ConfigurationFeed;
 	private readonly roster: Roster;
@@ -90,7 +97,6 @@
 	) {
 		this.core = new NodeCore(settings, clock, logger, this.createHooks());
 		const {gossip, hub, keeper, metrics, random, executor, backend, runner} = this.core;
-		this.placement = this.core.placement as ObjectivePlacement;
 		const {source, backendProtocol} = surroundings;
 		this.store = surroundings.createStore(metrics);
 		const {store} = this;
@@ -181,7 +187,10 @@
 		const {lifecycle, backend, gossip, hub, executor} = this.core;
 		const until = clock.now() + this.settings.stopTimeout - stopReserve;
 		lifecycle.send({type: NodeEvent.StopAsked});
-		this.logger.log(logEvents.nodeDraining, {inFlight: this.ingress.inFlight, running: executor.busy});
+		this.logger.log(logEvents.nodeDraining, {
+			inFlight: this.ingress.inFlight,
+			running: executor.busy,
+		});
 		this.ingress.drain();
 		await pause(clock, lingerTime - handBackTime);
 		backend.drainNode();
@@ -221,17 +230,7 @@
 		return {
 			backendProtocol: this.surroundings.backendProtocol,
 			silenceLimit: settings.backend.announcePeriod * missedAnnouncements,
-			createPlacement: ({clock, gossip}) =>
-				new ObjectivePlacement({
-					clock,
-					directory: gossip.directory,
-					self: () => gossip.account,
-					costs: {
-						otherZone: settings.ways.otherZoneCost,
-						otherRegion: settings.ways.otherRegionCost,
-					},
-					lowestPriority: () => this.lowestPriority,
-				}),
+			createPlacement: (core) => this.createPlacement(core),
 			budgetBursts: () => this.budgetBursts(),
 			probeSpeed: async () => this.probe.probeNow(),
 			loadChanged: () => {
@@ -243,7 +242,7 @@
 			hearHeld: () => undefined,
 			hearRumor: () => undefined,
 			peerLoad: (id, load) => {
-				this.placement.noteLoad(id, load);
+				this.placement?.noteLoad(id, load);
 				this.core.runner.reconsider(id);
 			},
 			takeHandover: () => undefined,
@@ -251,6 +250,18 @@
 		};
 	}
 
+	private createPlacement({clock, gossip}: NodeCore): ObjectivePlacement {
+		const {otherZoneCost: otherZone, otherRegionCost: otherRegion} = this.settings.ways;
+		this.placement = new ObjectivePlacement({
+			clock,
+			directory: gossip.directory,
+			self: () => gossip.account,
+			costs: {otherZone, otherRegion},
+			lowestPriority: () => this.lowestPriority,
+		});
+		return this.placement;
+	}
+
 	// Each node hands out its part of the slack that all nodes together have in a window.
 	private budgetBursts(): BudgetBursts {
 		const nodes = Math.max(1, this.core.gossip.directory.countPresent());
@@ -260,7 +271,7 @@
 
 	private applyConfiguration(index: DeclarationIndex): void {
 		const {routes = [], callerLimits} = index.declaration;
-		this.lowestPriority = routes.reduce((most, {priority}) => Math.max(most, priority), 0);
+		this.lowestPriority = Math.max(0, ...routes.map(({priority}) => priority));
 		if (callerLimits) {
 			this.ingress.setIdleTimeout(callerLimits.idleTimeout + idleMargin);
 		}
--- a/tests/mesh.test.ts
+++ b/tests/mesh.test.ts
@@ -46,7 +46,7 @@
 	it('serve a request at the backend server of another node', async () => {
 		await mesh.configure(routes);
 		await mesh.settle();
-		await eventually(async () => (await mesh.send(beta, {path: '/safe/0'})).status === 200);
+		await eventually(async () => (await mesh.statusFor(beta, {path: '/safe/0'})) === 200);
 		const answer = await mesh.send(beta, {path: '/safe/x?q=1', id: 'whole-path', deadline: 900});
 		expect(answer).toMatchObject({status: 200, headers: {'x-server-signature': 'signed'}});
 		expect(answer.headers['x-attempt-id']).toBe('whole-path');
@@ -85,8 +85,8 @@
 	});
 
 	it('answer 404 where no route matches', async () => {
-		expect((await mesh.send(beta, {path: '/none/1'})).status).toBe(404);
-		expect((await mesh.send(beta, {path: '/safe/1', host: 'b.example'})).status).toBe(404);
+		expect(await mesh.statusFor(beta, {path: '/none/1'})).toBe(404);
+		expect(await mesh.statusFor(beta, {path: '/safe/1', host: 'b.example'})).toBe(404);
 	});
 
 	it('give a request up at the time-out of its route, and the work for it', async () => {
@@ -138,7 +138,7 @@
 		await mesh.configure([...routes, added], 10);
 		const ackedAt = performance.now();
 		for (const node of mesh.nodes) {
-			await eventually(async () => (await mesh.status(node)).revision.inForce === 10);
+			await eventually(async () => (await mesh.version(node)) === 10);
 		}
 
 		expect(performance.now() - ackedAt).toBeLessThan(applyBound);
@@ -146,8 +146,8 @@
 		await mesh.writeRow('op', 'config', 'bm8gSlNPTg==');
 		await pause(300);
 		for (const node of mesh.nodes) {
-			expect((await mesh.status(node)).revision.inForce).toBe(10);
-			expect((await mesh.send(node, {path: '/new/1'})).status).toBe(200);
+			expect(await mesh.version(node)).toBe(10);
+			expect(await mesh.statusFor(node, {path: '/new/1'})).toBe(200);
 		}
 	});
 
@@ -155,12 +155,12 @@
 		await mesh.setStoreFaults({refused: [other.address]});
 		await mesh.configure(routes, 11);
 		const ackedAt = performance.now();
-		await eventually(async () => (await mesh.status(other)).revision.inForce === 11);
+		await eventually(async () => (await mesh.version(other)) === 11);
 		expect(performance.now() - ackedAt).toBeLessThan(applyBound);
 		await mesh.setStoreFaults({refused: [], isHistoryLost: true});
 		await mesh.configure(routes, 12);
 		for (const node of mesh.nodes) {
-			await eventually(async () => (await mesh.status(node)).revision.inForce === 12);
+			await eventually(async () => (await mesh.version(node)) === 12);
 		}
 	});
 
@@ -169,7 +169,7 @@
 		expect(await other.backend.deregister()).toBe(200);
 		const before = other.backend.seen.length;
 		for (let i = 0; i < 40; i++) {
-			expect((await mesh.send(beta, {path: `/safe/${i}`})).status).toBe(200);
+			expect(await mesh.statusFor(beta, {path: `/safe/${i}`})).toBe(200);
 		}
 
 		expect(other.backend.seen).toHaveLength(before);
@@ -178,20 +178,20 @@
 	it('are not confused by announcements from another writer', async () => {
 		expect(await alpha.backend.heartbeat({info: {service: 7}})).toBe(400);
 		expect(await alpha.backend.heartbeat({status: {state: 'asleep', sequence: 999}})).toBe(400);
-		expect((await mesh.send(beta, {path: '/safe/1'})).status).toBe(200);
+		expect(await mesh.statusFor(beta, {path: '/safe/1'})).toBe(200);
 	});
 
 	it('cut nothing when a node stops, on connections that callers keep using', async () => {
 		alpha.backend.work = 150;
 		const agent = new Agent({keepAlive: true, maxSockets: 4});
-		let isOver = false;
+		const progress = {isOver: false};
 		const answers: number[] = [];
 		let cut = 0;
 		const callers = Array.from({length: 4}, async (_, caller) => {
-			for (let i = 0; !isOver; i++) {
+			for (let i = 0; !progress.isOver; i++) {
 				const id = `stop-${caller}-${i}`;
 				try {
-					answers.push((await mesh.send(beta, {path: '/unsafe/s', id, agent})).status);
+					answers.push(await mesh.statusFor(beta, {path: '/unsafe/s', id, agent}));
 				} catch {
 					// A request that never reached a backend server crossed the close of its connection.
 					cut += alpha.backend.seen.some((seen) => seen.id === id) ? 1 : 0;
@@ -201,7 +201,7 @@
 		});
 		await pause(300);
 		const code = await mesh.endNode(beta, 'SIGTERM');
-		isOver = true;
+		progress.isOver = true;
 		await Promise.all(callers);
 		agent.destroy();
 		expect(code).toBe(0);
@@ -213,7 +213,7 @@
 	it('find the backend server that ran on while its node was away', async () => {
 		beta.backend.stopHeartbeats();
 		await mesh.startNode(beta);
-		await eventually(async () => (await mesh.send(beta, {path: '/brief/2'})).status === 200);
+		await eventually(async () => (await mesh.statusFor(beta, {path: '/brief/2'})) === 200);
 		const found = mesh.log(beta).filter(({event}) => event === 'backend-found');
 		expect(found).toHaveLength(1);
 	});
@@ -224,7 +224,9 @@
 		beta.backend.behavior = () => true;
 		await mesh.send(alpha, {path: '/brief/1', id: 'traced'});
 		await eventually(() => mesh.log(beta).some(({request}) => request === 'traced'));
-		const lines = [...mesh.log(alpha), ...mesh.log(beta)].filter(({request}) => request === 'traced');
+		const lines = [...mesh.log(alpha), ...mesh.log(beta)].filter(
+			({request}) => request === 'traced',
+		);
 		expect(lines.map(({event}) => event)).toContain('call-ended');
 		expect(lines.map(({event}) => event)).toContain('attempt-ended');
 	});
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -13,7 +13,7 @@
 
 const config: FlatXoConfig = [
 	{
-		ignores: ['dist', 'reports'],
+		ignores: ['dist', 'reports', 'target', 'journal'],
 	},
 	{
 		prettier: 'compat',
