--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -15,6 +15,7 @@
 import type {Member} from '../membership/index.js';
 import type {Placement, PlacementQuery} from '../routing/index.js';
 import {logEvents, RetryReason, type Logger, type Metrics} from '../telemetry/index.js';
+import {pause} from '../util/index.js';
 import {CallBudgets, type BudgetBursts} from './call-budgets.js';
 import {HedgeRace, type SentAttempt} from './hedge.js';
 
@@ -78,6 +79,8 @@
 const bounceShare = 0.5;
 /** How long an executor that could not be reached gets no call that another one can take. */
 const avoidTime: Millis = second;
+/** How often a call that waits for an executor looks for one. */
+const awaitPeriod: Millis = 20;
 const serverErrorStatus = 500;
 
 /** Chooses executors for a call until it is answered or must be refused. */
@@ -117,7 +120,11 @@
 		);
 		let last: AttemptResult | undefined;
 		for (;;) {
-			const executor = this.choose(call, progress) ?? this.chooseToWait(call, progress);
+			const executor =
+				this.choose(call, progress) ??
+				this.chooseToWait(call, progress) ??
+				// eslint-disable-next-line no-await-in-loop
+				(await this.awaitExecutor(call, progress));
 			if (!executor) {
 				last ??= createRefused(this.parts.placement.reasonForNone(this.query(call, progress)));
 				break;
@@ -210,6 +217,21 @@
 		return this.choose(call, progress);
 	}
 
+	// One may come back soon, and a refused caller may have no further try.
+	private async awaitExecutor(call: Call, progress: Progress): Promise<Member | undefined> {
+		const {clock, placement} = this.parts;
+		const until = clock.now() + placement.patience(this.query(call, progress));
+		while (clock.now() < until && !call.cancellation.isCanceled) {
+			await pause(clock, awaitPeriod); // eslint-disable-line no-await-in-loop
+			const executor = this.choose(call, progress);
+			if (executor) {
+				return executor;
+			}
+		}
+
+		return undefined;
+	}
+
 	private async attempt(call: Call, executor: Member, progress: Progress): Promise<AttemptResult> {
 		const first = this.send(call, executor, progress);
 		const isHedgeable = call.head.isIdempotent && call.body.bytes !== undefined;
--- a/src/ingress/nearest-first-placement.ts
+++ b/src/ingress/nearest-first-placement.ts
@@ -67,6 +67,10 @@
 		return true;
 	}
 
+	patience(): Millis {
+		return 0;
+	}
+
 	roomIn(): Millis | undefined {
 		return undefined;
 	}
--- a/src/node/load-news.ts
+++ b/src/node/load-news.ts
@@ -20,7 +20,7 @@
  * of speed a second stay within them; a large deployment relies on its zone and on answers.
  */
 const otherZoneRate = 60;
-const otherRegionRate = 30;
+const otherRegionRate = 8;
 /** Seconds of a rate that can be saved up. */
 const rateDepth = 1;
 
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -61,6 +61,11 @@
 /** Bounds of what a refused caller is told to wait, in ms. */
 const leastRoomDelay: Millis = 60;
 const mostRoomDelay: Millis = 1000;
+/** What a refused caller is told to wait when no executor is there: a restart takes about that long. */
+const absenceDelay: Millis = 300;
+/** How long a call waits for an executor at the most, and as a share of its time left. */
+const mostPatience: Millis = 400;
+const patienceShare = 0.3;
 const defaultSlots = 8;
 
 type Judged = {readonly member: Member; readonly time: Millis; readonly loss: number};
@@ -115,6 +120,12 @@
 		return loss - other.loss > hedgeGain;
 	}
 
+	// Executors are away for about a second when their nodes restart, and callers have few retries.
+	patience(query: PlacementQuery): Millis {
+		const isExpected = this.reasonForNone(query) === RefusalReason.NoBackend;
+		return isExpected ? Math.min(mostPatience, query.timeLeft * patienceShare) : 0;
+	}
+
 	roomIn(query: PlacementQuery): Millis | undefined {
 		let least: Millis | undefined;
 		for (const member of this.parts.directory.ofService(query.service)) {
@@ -124,7 +135,7 @@
 			}
 		}
 
-		return least && Math.min(mostRoomDelay, Math.max(leastRoomDelay, least));
+		return Math.min(mostRoomDelay, Math.max(leastRoomDelay, least ?? absenceDelay));
 	}
 
 	noteSent(_query: PlacementQuery, executor: Member): void {
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -62,6 +62,11 @@
 	 * @returns when there will be room, in ms from now; undefined when nothing is known of that.
 	 */
 	roomIn(query: PlacementQuery): Millis | undefined;
+	/**
+	 * @param query - a call for which there is no executor.
+	 * @returns how long it should wait for one to come, in ms.
+	 */
+	patience(query: PlacementQuery): Millis;
 	/** An attempt goes to an executor. */
 	noteSent(query: PlacementQuery, executor: Member): void;
 	/** An attempt has ended. */
