--- a/src/backend/crowding.ts
+++ b/src/backend/crowding.ts
@@ -1,4 +1,4 @@
-import type {Millis} from '../clock/index.js';
+import {second, type Millis} from '../clock/index.js';
 
 /** Share of busy slots from which on some backend servers slow down. Source: the users' sheets. */
 const crowdedShare = 0.8;
@@ -11,6 +11,9 @@
  */
 const worthLimiting = 1.15;
 
+/** How long a limit holds before the last slots are tried again. */
+const trialPeriod: Millis = 10 * second;
+
 type Side = {mean: number; samples: number};
 
 function add(side: Side, ratio: number): void {
@@ -19,12 +22,16 @@
 	side.mean += (ratio - side.mean) * weight;
 }
 
-/** Learns whether a backend server slows down when it is nearly full, and limits its calls if so. */
+/**
+ * Learns whether a backend server slows down when it is nearly full, and limits its calls if so. It
+ * begins with the limit, as a backend server that was just started meets a backlog.
+ */
 export class Crowding {
-	private readonly crowded: Side = {mean: 1, samples: 0};
+	private crowded: Side = {mean: 1, samples: 0};
 	private readonly free: Side = {mean: 1, samples: 0};
+	private limitedSince: Millis | undefined;
 
-	/** How many times longer calls take on the crowded backend server. */
+	/** How many times longer calls take on the crowded backend server; 1 while that is not known. */
 	get factor(): number {
 		const isKnown = this.crowded.samples >= minSamples && this.free.samples >= minSamples;
 		return isKnown ? this.crowded.mean / Math.max(0.1, this.free.mean) : 1;
@@ -51,10 +58,27 @@
 
 	/**
 	 * @param slots - slots of the backend server.
+	 * @param now - monotonic time in ms.
 	 * @returns calls that should run at once.
 	 */
-	limit(slots: number): number {
-		const isLimited = this.factor > worthLimiting;
-		return isLimited ? Math.max(1, Math.floor(slots * crowdedShare)) : slots;
+	limit(slots: number, now: Millis): number {
+		const limited = Math.max(1, Math.floor(slots * crowdedShare));
+		if (this.free.samples < minSamples) {
+			return limited;
+		}
+
+		if (this.factor <= worthLimiting) {
+			this.limitedSince = undefined;
+			return slots;
+		}
+
+		this.limitedSince ??= now;
+		if (now - this.limitedSince > trialPeriod) {
+			this.limitedSince = undefined;
+			this.crowded = {mean: 1, samples: 0};
+			return slots;
+		}
+
+		return limited;
 	}
 }
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -97,6 +97,7 @@
 	private isDraining = false;
 	private isSweeping = false;
 	private toldLevel = 0;
+	private warmUpSlowdown = 1;
 
 	constructor(private readonly parts: ExecutorParts) {
 		this.admission = new Admission(parts.clock, this.limits);
@@ -145,7 +146,15 @@
 	 */
 	setLimits(slots: number, queue: number): void {
 		this.limits = {slots, queue};
-		this.admission.setLimits({slots: this.crowding.limit(slots), queue});
+		this.admission.setLimits({slots: this.crowding.limit(slots, this.parts.clock.now()), queue});
+	}
+
+	/**
+	 * @param slowdown - how many times longer than usual work takes as the backend server has just
+	 * started; 1 when it is warm.
+	 */
+	setWarmUp(slowdown: number): void {
+		this.warmUpSlowdown = slowdown;
 	}
 
 	/** Takes no new work; what waits is handed back, what runs is finished. */
@@ -156,7 +165,8 @@
 
 	/** @returns the load of the backend server now. */
 	report(): LoadReport {
-		return {...this.admission.report(), slowdown: this.speed.slowdown(this.parts.clock.now())};
+		const slowdown = this.speed.slowdown(this.parts.clock.now()) * this.warmUpSlowdown;
+		return {...this.admission.report(), slowdown};
 	}
 
 	/**
@@ -403,7 +413,7 @@
 
 	private learn(attempt: Attempt, running: Running, isFailure: boolean): void {
 		const isWhole = !isFailure && !attempt.cancellation.isCanceled;
-		if (!isWhole || running.slowdown > usualSpeed) {
+		if (!isWhole || running.slowdown > usualSpeed || this.warmUpSlowdown > 1) {
 			return;
 		}
 
--- a/src/node/backend-keeper.ts
+++ b/src/node/backend-keeper.ts
@@ -111,7 +111,7 @@
 	}
 
 	/** How much longer than usual work takes as the backend server has just started. */
-	get warmUpSlowdown(): number {
+	private get warmUpSlowdown(): number {
 		const left = this.announcement?.warmUpLeft ?? 0;
 		return this.parts.clock.now() - this.announcedAt < left ? warmingSlowdown : 1;
 	}
@@ -206,6 +206,7 @@
 		const connections = announcement.connections ?? policy?.connections ?? announcement.slots;
 		const slots = Math.min(announcement.slots, connections);
 		const isWarm = age >= warmUp;
+		this.parts.executor.setWarmUp(this.warmUpSlowdown);
 		this.parts.executor.setLimits(
 			isWarm ? slots : warmingSlots(slots, age, warmUp),
 			policy?.queue ?? defaultQueue,
