--- a/src/bin/node-program.ts
+++ b/src/bin/node-program.ts
@@ -63,6 +63,8 @@
 	});
 	const stop = async () => {
 		const isClean = await node.stop();
+		// The programs that call this are command lines.
+		// eslint-disable-next-line unicorn/no-process-exit
 		process.exit(isClean ? ExitCode.Ok : ExitCode.Forced);
 	};
 
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -78,7 +78,7 @@
 /** The same for calls that can get a second attempt elsewhere. */
 const safeFreshness: Millis = 150;
 /** The same while calls are held for the end of a slow spell. */
-const heldFreshness: Millis = 40;
+const heldFreshness: Millis = 20;
 /** Run times that are taken as samples: those at the usual speed. */
 const usualSpeed = 1.3;
 /** Factor between two speeds from which on a change is worth a message to the callers' nodes. */
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -228,7 +228,9 @@
 			}
 		}
 
-		return ids.length <= smallZone || rendezvous(account.zone, ids, readersPerZone).includes(account.id);
+		return (
+			ids.length <= smallZone || rendezvous(account.zone, ids, readersPerZone).includes(account.id)
+		);
 	}
 
 	private findBackend(): void {
