Refuse what can no longer be served at once, and start nothing that cannot end in time

Ruled out: the queue's order. Change: a waiting call is refused when its hold and run no longer fit; a call whose run at this speed cannot end in time is held; lengths of spells are learned only from readings close together.

--- a/src/backend/__tests__/unit/pacing.test.ts
+++ b/src/backend/__tests__/unit/pacing.test.ts
@@ -47,7 +47,14 @@
 			holdTime() {
 				const spellLeft = speed.spellLeft();
 				const {lastSlowdown, isSlow} = speed;
-				const isHeld = isSlow && isWorthHolding({work, slowdown: lastSlowdown, spellLeft});
+				const isHeld =
+					isSlow &&
+					isWorthHolding({
+						work,
+						slowdown: lastSlowdown,
+						spellLeft,
+						timeLeft: startedAt + timeout - clock.now(),
+					});
 				return isHolding && isHeld ? spellLeft : 0;
 			},
 			start() {
@@ -72,9 +79,13 @@
 
 describe('isWorthHolding', () => {
 	it('holds long calls in a slow spell and lets short ones start', () => {
-		expect(isWorthHolding({work: 120, slowdown: 7, spellLeft: 250})).toBe(true);
-		expect(isWorthHolding({work: 30, slowdown: 7, spellLeft: 250})).toBe(false);
-		expect(isWorthHolding({work: 120, slowdown: 1, spellLeft: 250})).toBe(false);
+		expect(isWorthHolding({work: 120, slowdown: 7, spellLeft: 250, timeLeft: 800})).toBe(true);
+		expect(isWorthHolding({work: 30, slowdown: 7, spellLeft: 250, timeLeft: 800})).toBe(false);
+		expect(isWorthHolding({work: 120, slowdown: 1, spellLeft: 250, timeLeft: 800})).toBe(false);
+	});
+
+	it('starts nothing that cannot end in time at this speed', () => {
+		expect(isWorthHolding({work: 30, slowdown: 7, spellLeft: 250, timeLeft: 200})).toBe(true);
 	});
 
 	it.each([1, 2, 3])('answers more callers in time at 70% load (seed %i)', (seed) => {
@@ -122,6 +133,19 @@
 		expect(held.state).toBe('started');
 	});
 
+	it('refuses a held call as soon as it cannot be served, not when its time is over', () => {
+		const clock = new ManualClock();
+		const admission = new Admission(clock, {slots: 2, queue: 5});
+		const held = createTicket({holdTime: () => 250, work: 100});
+		admission.request(held);
+		clock.advance(600);
+		admission.sweep();
+		expect(held.state).toBe('waiting');
+		clock.advance(100);
+		admission.sweep();
+		expect(held.state).toBe(RefusalReason.DeadlineTooShort);
+	});
+
 	it('tells a call that can go elsewhere that the backend server is slow', () => {
 		const admission = new Admission(new ManualClock(), {slots: 2, queue: 5});
 		const ticket = createTicket({holdTime: () => 100, isBounceable: true});
--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -30,6 +30,9 @@
 	readonly queue: number;
 }
 
+/** The shorter runs last about so many times their mean. Source: the spread on the users' sheets. */
+const shortRun = 0.7;
+
 type Usage = {running: number; queued: number; share: number};
 
 /**
@@ -114,7 +117,9 @@
 	/** Refuses those whose time has become too short; called every few ms. */
 	sweep(): void {
 		const now = this.clock.now();
-		const late = this.queue.filter((ticket) => ticket.deadline.timeLeft(now) < this.minimumTime());
+		const late = this.queue.filter(
+			(ticket) => ticket.deadline.timeLeft(now) < this.minimumTime(ticket),
+		);
 		for (const ticket of late) {
 			this.withdraw(ticket);
 			ticket.refuse(RefusalReason.DeadlineTooShort);
@@ -249,8 +254,10 @@
 		return Math.max(this.serviceTime.average, meanAge);
 	}
 
-	private minimumTime(): Millis {
-		return this.serviceTime.average / 2;
+	// What can no longer be served is refused at once, while its caller has time to come back.
+	private minimumTime(ticket: Ticket): Millis {
+		const hold = ticket.holdTime?.() ?? 0;
+		return Math.max(this.serviceTime.average / 2, hold + ticket.work * shortRun);
 	}
 
 	private begin(ticket: Ticket): void {
--- a/src/backend/backend-speed.ts
+++ b/src/backend/backend-speed.ts
@@ -12,8 +12,10 @@
 /** Length of a slow spell before one was seen. Source: the users' description of their hosts. */
 const defaultSpell: Millis = 500;
 const spellWeight = 0.1;
+/** Readings further apart don't tell how long a spell lasted. */
+const watchedGap: Millis = 350;
 /** A spell that seems longer was not watched all along. */
-const longestSpell: Millis = 5000;
+const longestSpell: Millis = 1500;
 
 /** How fast a backend server works at this moment, from readings that grow old within half a second. */
 export class BackendSpeed {
@@ -40,8 +42,11 @@
 	read(slowdown: number, now: Millis): void {
 		this.last = Math.min(maxSlowdown, Math.max(minSlowdown, slowdown));
 		this.mean += (this.last - this.mean) * meanWeight;
+		const isWatched = this.readAt !== undefined && now - this.readAt <= watchedGap;
 		this.readAt = now;
-		if (this.isSlow) {
+		if (!isWatched) {
+			this.slowSince = this.isSlow ? now : undefined;
+		} else if (this.isSlow) {
 			this.slowSince ??= now;
 		} else if (this.slowSince !== undefined) {
 			const length = Math.min(longestSpell, now - this.slowSince);
--- a/src/backend/pacing.ts
+++ b/src/backend/pacing.ts
@@ -8,15 +8,19 @@
 	readonly slowdown: number;
 	/** How long the slow spell still lasts on the mean, in ms. */
 	readonly spellLeft: Millis;
+	/** How long the caller still waits, in ms. */
+	readonly timeLeft: Millis;
 }
 
 /**
  * A call keeps the speed at which it starts: one that starts in a slow spell ends later than one that
  * waits for its end, unless it is short. Answers load on hosts with noisy neighbours, where starting
  * everything at once costs most of the capacity.
+ * One that cannot end in time at this speed is never started: its caller would be told that it may
+ * have run.
  * @param parts - what it depends on.
  * @returns whether the call should wait for the end of the spell.
  */
-export function isWorthHolding({work, slowdown, spellLeft}: PacingParts): boolean {
-	return work * (slowdown - 1) > spellLeft;
+export function isWorthHolding({work, slowdown, spellLeft, timeLeft}: PacingParts): boolean {
+	return work * (slowdown - 1) > spellLeft || work * slowdown > timeLeft;
 }
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -303,10 +303,12 @@
 		}
 
 		const {route} = attempt.head.origin;
-		const {work} = this.profiles.of(route, attempt.objective.timeLeft(this.parts.clock.now()));
+		const now = this.parts.clock.now();
+		const {work} = this.profiles.of(route, attempt.objective.timeLeft(now));
+		const timeLeft = attempt.deadline.timeLeft(now);
 		const {lastSlowdown: slowdown} = this.speed;
 		const spellLeft = this.speed.spellLeft();
-		return isWorthHolding({work, slowdown, spellLeft}) ? spellLeft : 0;
+		return isWorthHolding({work, slowdown, spellLeft, timeLeft}) ? spellLeft : 0;
 	}
 
 	private refusalFor(attempt: Attempt): RefusalReason | undefined {
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -79,6 +79,8 @@
 const bounceShare = 0.5;
 /** How long an executor that could not be reached gets no call that another one can take. */
 const avoidTime: Millis = second;
+/** A further attempt needs its way and a run; short ones take about so long. */
+const leastRetryTime: Millis = 20;
 /** How often a call that waits for an executor looks for one. */
 const awaitPeriod: Millis = 20;
 const serverErrorStatus = 500;
@@ -358,7 +360,8 @@
 
 	private mayTryAgain(call: Call, result: AttemptResult, progress: Progress): boolean {
 		const {clock} = this.parts;
-		if (call.cancellation.isCanceled || call.deadline.isPast(clock.now())) {
+		const timeLeft = call.deadline.timeLeft(clock.now());
+		if (call.cancellation.isCanceled || timeLeft < leastRetryTime) {
 			return false;
 		}
 
