--- a/src/control/__tests__/unit/configuration-feed.test.ts
+++ b/src/control/__tests__/unit/configuration-feed.test.ts
@@ -34,6 +34,11 @@
 	return {changes: [{key: 'config', value, etag: String(position)}], position};
 }
 
+/** Never resolves: the store has nothing more to tell. */
+const nothingMore = new Promise<never>(() => {
+	// The feed is stopped while it waits.
+});
+
 /** Plays pages and errors of a store in turn, and then nothing more. */
 async function play(steps: readonly Step[]) {
 	const clock = new ManualClock(1000);
@@ -48,7 +53,7 @@
 			throw step;
 		}
 
-		return step ?? new Promise<never>(() => undefined);
+		return step ?? nothingMore;
 	};
 
 	const store: RowFeed = {
--- a/src/control/__tests__/unit/roster.test.ts
+++ b/src/control/__tests__/unit/roster.test.ts
@@ -48,9 +48,9 @@
 
 	private apply({key, value, expect: condition, etag}: WriteOperation): WriteResult {
 		const row = this.rows.get(key);
-		const isBlocked =
-			(condition === Expect.Absent && row) || (condition === Expect.Etag && row?.etag !== etag);
-		if (isBlocked) {
+		const isTaken = condition === Expect.Absent && row !== undefined;
+		const isChanged = condition === Expect.Etag && row?.etag !== etag;
+		if (isTaken || isChanged) {
 			return {isApplied: false, row};
 		}
 
--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -10,6 +10,7 @@
 	inlineBodyBytes,
 	type AttemptResult,
 } from '../exchange/index.js';
+import {concatBytes} from '../util/index.js';
 import {AnswerVerdict, type BackendLoad, type BackendProtocol} from './backend-protocol.js';
 import {hasHeader, stripHeaders} from './headers.js';
 import type {ResetWatch} from './reset-watch.js';
@@ -204,7 +205,7 @@
 			return createRefused(notRun);
 		}
 
-		const bytes = this.chunks.length === 1 ? this.chunks[0]! : concat(this.chunks);
+		const bytes = concatBytes(this.chunks);
 		return {
 			end: AttemptEnd.Answered,
 			status: this.status,
@@ -227,22 +228,6 @@
 	return hasHeader(headers, 'content-length') || hasHeader(headers, 'transfer-encoding');
 }
 
-function concat(chunks: readonly Uint8Array[]): Uint8Array {
-	let length = 0;
-	for (const chunk of chunks) {
-		length += chunk.length;
-	}
-
-	const bytes = new Uint8Array(length);
-	let at = 0;
-	for (const chunk of chunks) {
-		bytes.set(chunk, at);
-		at += chunk.length;
-	}
-
-	return bytes;
-}
-
 function toHeaderList(raw: Dispatcher.DispatchController['rawHeaders']): HeaderList {
 	const headers: HeaderList = [];
 	if (Array.isArray(raw)) {
--- a/src/telemetry/line-writer.ts
+++ b/src/telemetry/line-writer.ts
@@ -1,5 +1,6 @@
 import {write, writeSync} from 'node:fs';
 import {Writable} from 'node:stream';
+import {concatBytes} from '../util/index.js';
 
 /** Takes bytes somewhere. */
 export interface Sink {
@@ -64,7 +65,7 @@
 	/** Writes what waits at once, as the process ends. */
 	flushNow(): void {
 		if (this.pending.length > 0) {
-			this.sink.writeNow(joinBytes(this.pending));
+			this.sink.writeNow(concatBytes(this.pending));
 			this.pending = [];
 		}
 	}
@@ -110,7 +111,7 @@
 			return;
 		}
 
-		const bytes = joinBytes(this.pending);
+		const bytes = concatBytes(this.pending);
 		this.pending = [];
 		this.isWriting = true;
 		this.sink.write(bytes, (err) => {
@@ -151,19 +152,3 @@
 		}
 	}
 }
-
-function joinBytes(chunks: readonly Uint8Array[]): Uint8Array {
-	let length = 0;
-	for (const chunk of chunks) {
-		length += chunk.length;
-	}
-
-	const bytes = new Uint8Array(length);
-	let at = 0;
-	for (const chunk of chunks) {
-		bytes.set(chunk, at);
-		at += chunk.length;
-	}
-
-	return bytes;
-}
--- a/src/util/index.ts
+++ b/src/util/index.ts
@@ -1,3 +1,4 @@
+export {concatBytes} from './bytes.js';
 export {hash32, hash48, hashBytes, rendezvous} from './hash.js';
 export {InvariantError, invariant} from './invariant.js';
 export {pause} from './pause.js';
--- a/tests/docs.test.ts
+++ b/tests/docs.test.ts
@@ -9,7 +9,9 @@
 
 /** Rows of the table of proofs: test file and test name. */
 function proofs(): Array<{file: string; name: string}> {
-	const rows = read('docs/PROOFS.md').matchAll(/`((?:tests|src)\/[^`]+\.test\.ts)`: "([^"]+)"/gv);
+	const rows = read('docs/PROOFS.md').matchAll(
+		/`((?:tests|src|platform)\/[^`]+\.test\.ts)`: "([^"]+)"/gv,
+	);
 	return [...rows].map((row) => ({file: row[1]!, name: row[2]!}));
 }
 
