Never tell a refusal of a hedged call whose other attempt may have run

Cause: HedgeRace ended with whichever result came last. A refusal after an attempt that was lost or failed said "not run" of a call that may have run. Only idempotent calls are hedged, so nothing ran twice, but the answer was untrue. Ruled out: mending CallRunner.truth, which sees one result a race.

--- a/src/ingress/__tests__/unit/hedge.test.ts
+++ b/src/ingress/__tests__/unit/hedge.test.ts
@@ -4,6 +4,7 @@
 	AttemptEnd,
 	Cancellation,
 	createRefused,
+	createUnknown,
 	createWholeBody,
 	type AttemptResult,
 } from '../../../exchange/index.js';
@@ -56,4 +57,27 @@
 		first.resolve(answer(500));
 		expect(await race.result).toMatchObject({status: 500});
 	});
+
+	it.each([
+		['an attempt that may have run', createUnknown(RefusalReason.BackendLost), AttemptEnd.Unknown],
+		['a failure of the backend server', answer(500), AttemptEnd.Answered],
+	])('never tells a refusal after %s', async (_name, result, end) => {
+		const first = createAttempt();
+		const second = createAttempt();
+		const race = new HedgeRace(first);
+		race.add(second);
+		first.resolve(result);
+		second.resolve(createRefused(RefusalReason.Busy));
+		expect(await race.result).toMatchObject({end});
+	});
+
+	it('prefers what the backend server told over an attempt that was lost', async () => {
+		const first = createAttempt();
+		const second = createAttempt();
+		const race = new HedgeRace(first);
+		race.add(second);
+		first.resolve(answer(500));
+		second.resolve(createUnknown(RefusalReason.BackendLost));
+		expect(await race.result).toMatchObject({status: 500});
+	});
 });
