Refuse every waiting call when a backend server leaves

Cause: refuseQueue walked the list out of which it took each call, so that every second one stayed and was refused only when its turn came, at the check before the first byte. Callers lost that time. Change: it walks a copy. Red before: 'refuses all that wait at once when the backend server leaves' (2 of 4 refused); green after.

--- a/src/backend/__tests__/unit/admission.test.ts
+++ b/src/backend/__tests__/unit/admission.test.ts
@@ -77,6 +77,20 @@
 		expect(quiet.state).toBe('started');
 	});
 
+	it('refuses all that wait at once when the backend server leaves', () => {
+		const admission = new Admission(new ManualClock(), {slots: 1, queue: 10});
+		const waiting = [500, 600, 700, 800].map((at) => createTicket('a', at));
+		admission.request(createTicket('a', 1000));
+		for (const ticket of waiting) {
+			admission.request(ticket);
+		}
+
+		admission.refuseQueue(RefusalReason.Draining);
+		expect(waiting.map(({reason}) => reason)).toEqual(
+			Array.from({length: 4}, () => RefusalReason.Draining),
+		);
+	});
+
 	it('never exceeds slots or queue, and settles each ticket once', () => {
 		const step = fc.record({
 			kind: fc.constantFrom('request', 'release', 'withdraw', 'sweep', 'limits'),
--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -131,7 +131,7 @@
 	 * @param reason - why.
 	 */
 	refuseQueue(reason: RefusalReason): void {
-		for (const ticket of this.queue) {
+		for (const ticket of [...this.queue]) {
 			this.withdraw(ticket);
 			ticket.refuse(reason);
 		}
