Keep views of executors in one place, and drop what had no use

- What an ingress knows of executors stood in both placements: ExecutorViews holds it now.
- usualSpeed stood in the executor and in the placement: isUsualSpeed in call-profiles.
- WeightedSplit.retain had no caller, so splits of removed routes stayed: they are forgotten by last use.

--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -131,7 +131,8 @@
 	 * @param reason - why.
 	 */
 	refuseQueue(reason: RefusalReason): void {
-		for (const ticket of [...this.queue]) {
+		const waiting = [...this.queue];
+		for (const ticket of waiting) {
 			this.withdraw(ticket);
 			ticket.refuse(reason);
 		}
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -21,7 +21,7 @@
 	type AttemptResult,
 	type AttemptRunner,
 } from '../exchange/index.js';
-import {CallProfiles} from '../routing/index.js';
+import {CallProfiles, isUsualSpeed} from '../routing/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 import {withResolvers} from '../util/index.js';
 import type {BackendCallEnd} from './backend-call.js';
@@ -79,8 +79,6 @@
 const safeFreshness: Millis = 150;
 /** The same while calls are held for the end of a slow spell. */
 const heldFreshness: Millis = 20;
-/** Run times that are taken as samples: those at the usual speed. */
-const usualSpeed = 1.3;
 /** Factor between two speeds from which on a change is worth a message to the callers' nodes. */
 const notableChange = 1.5;
 
@@ -415,7 +413,7 @@
 
 	private learn(attempt: Attempt, running: Running, isFailure: boolean): void {
 		const isWhole = !isFailure && !attempt.cancellation.isCanceled;
-		if (!isWhole || running.slowdown > usualSpeed || this.warmUpSlowdown > 1) {
+		if (!isWhole || !isUsualSpeed(running.slowdown) || this.warmUpSlowdown > 1) {
 			return;
 		}
 
--- a/src/routing/call-profiles.ts
+++ b/src/routing/call-profiles.ts
@@ -15,6 +15,16 @@
 const objectiveShare = 0.3;
 const defaultAnswerBytes = 2000;
 const maxKinds = 20_000;
+/** Slowdown up to which a run time counts as one at the usual speed. */
+const usualSpeed = 1.3;
+
+/**
+ * @param slowdown - how many times longer than usual work took.
+ * @returns whether the run is a sample of what such calls take.
+ */
+export function isUsualSpeed(slowdown: number): boolean {
+	return slowdown <= usualSpeed;
+}
 
 /** Learns what calls of each kind take. */
 export class CallProfiles {
--- a/src/routing/executor-view.ts
+++ b/src/routing/executor-view.ts
@@ -15,8 +15,7 @@
 	avoidUntil: Millis;
 }
 
-/** @returns the view of an executor that nothing is known of. */
-export function createView(): ExecutorView {
+function createView(): ExecutorView {
 	return {
 		load: undefined,
 		reportedAt: 0,
@@ -26,3 +25,53 @@
 		avoidUntil: 0,
 	};
 }
+
+/** What one ingress knows of all executors. */
+export class ExecutorViews {
+	private readonly views = new Map<string, ExecutorView>();
+
+	/**
+	 * @param id - an executor.
+	 * @returns what is known of it; an empty view when nothing is.
+	 */
+	of(id: string): ExecutorView {
+		let view = this.views.get(id);
+		if (!view) {
+			view = createView();
+			this.views.set(id, view);
+		}
+
+		return view;
+	}
+
+	/** An attempt goes to an executor. */
+	noteSent(id: string, now: Millis): void {
+		const view = this.of(id);
+		view.outstanding += 1;
+		view.sentAtSum += now;
+	}
+
+	/** An attempt that was sent has ended. */
+	noteEnded(id: string, sentAt: Millis): void {
+		const view = this.of(id);
+		if (view.outstanding > 0) {
+			view.outstanding -= 1;
+			view.sentAtSum -= sentAt;
+		}
+	}
+
+	/** An executor has told its load; one without slots has no backend server and tells nothing. */
+	noteLoad(id: string, load: LoadReport, now: Millis): void {
+		if (load.slots > 0) {
+			const view = this.of(id);
+			view.load = load;
+			view.reportedAt = now;
+			view.outstandingAtReport = view.outstanding;
+		}
+	}
+
+	/** An executor is gone. */
+	forget(id: string): void {
+		this.views.delete(id);
+	}
+}
--- a/src/routing/expected-wait-policy.ts
+++ b/src/routing/expected-wait-policy.ts
@@ -2,7 +2,7 @@
 import {second, type Clock, type Millis} from '../clock/index.js';
 import {Distance, distanceBetween, type Member} from '../membership/index.js';
 import {sample, type Random} from '../random/index.js';
-import {createView, type ExecutorView} from './executor-view.js';
+import {ExecutorViews, type ExecutorView} from './executor-view.js';
 import type {RoutingPolicy, RoutingQuery} from './routing-policy.js';
 
 /** Time that an attempt and its answer spend on the way, by distance, in ms. */
@@ -33,7 +33,7 @@
  * Source: Mitzenmacher, "The power of two choices in randomized load balancing", 2001.
  */
 export class ExpectedWaitPolicy implements RoutingPolicy {
-	private readonly views = new Map<string, ExecutorView>();
+	private readonly views = new ExecutorViews();
 
 	constructor(private readonly parts: Parts) {}
 
@@ -68,22 +68,13 @@
 	}
 
 	noteSent(id: string): void {
-		const view = this.view(id);
-		view.outstanding += 1;
-		view.sentAtSum += this.parts.clock.now();
+		this.views.noteSent(id, this.parts.clock.now());
 	}
 
 	noteEnded(id: string, sentAt: Millis, load: LoadReport | undefined): void {
-		const view = this.view(id);
-		if (view.outstanding > 0) {
-			view.outstanding -= 1;
-			view.sentAtSum -= sentAt;
-		}
-
-		if (load && load.slots > 0) {
-			view.load = load;
-			view.reportedAt = this.parts.clock.now();
-			view.outstandingAtReport = view.outstanding;
+		this.views.noteEnded(id, sentAt);
+		if (load) {
+			this.views.noteLoad(id, load, this.parts.clock.now());
 		}
 	}
 
@@ -93,7 +84,7 @@
 	 * @param span - for how long, in ms.
 	 */
 	avoid(id: string, span: Millis): void {
-		this.view(id).avoidUntil = this.parts.clock.now() + span;
+		this.views.of(id).avoidUntil = this.parts.clock.now() + span;
 	}
 
 	/**
@@ -101,12 +92,12 @@
 	 * @param id - the executor.
 	 */
 	forget(id: string): void {
-		this.views.delete(id);
+		this.views.forget(id);
 	}
 
 	private expectedTime(candidate: Member, siblings: Siblings): Millis {
 		const now = this.parts.clock.now();
-		const view = this.view(candidate.id);
+		const view = this.views.of(candidate.id);
 		const slots = view.load?.slots ?? (candidate.slots > 0 ? candidate.slots : defaultSlots);
 		const serviceTime = estimateServiceTime(view, siblings, now);
 		const load = estimateLoad(view, siblings, now);
@@ -124,9 +115,9 @@
 		let count = 0;
 		const serviceTimes: Millis[] = [];
 		for (const candidate of candidates) {
-			const view = this.views.get(candidate.id);
-			const report = view?.load;
-			if (view && report) {
+			const view = this.views.of(candidate.id);
+			const report = view.load;
+			if (report) {
 				count += 1;
 				load += othersLoad(view, report);
 				serviceTimes.push(report.serviceTime);
@@ -138,16 +129,6 @@
 		const serviceTime = serviceTimes[Math.floor((count - 1) / 2)] ?? defaultServiceTime;
 		return {othersLoad: count > 0 ? load / count : 0, serviceTime};
 	}
-
-	private view(id: string): ExecutorView {
-		let view = this.views.get(id);
-		if (!view) {
-			view = createView();
-			this.views.set(id, view);
-		}
-
-		return view;
-	}
 }
 
 // Work that other ingresses had there; an ingress need not be told of its own.
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -11,7 +11,7 @@
 	type ObjectivePlacementParts,
 	type WayCosts,
 } from './objective-placement.js';
-export {CallProfiles, type CallProfile} from './call-profiles.js';
+export {CallProfiles, isUsualSpeed, type CallProfile} from './call-profiles.js';
 export {WeightedSplit} from './weighted-split.js';
 export {ExpectedWaitPolicy} from './expected-wait-policy.js';
 export type {RoutingPolicy, RoutingQuery} from './routing-policy.js';
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -7,9 +7,9 @@
 	type Directory,
 	type Member,
 } from '../membership/index.js';
-import {CallProfiles} from './call-profiles.js';
+import {CallProfiles, isUsualSpeed} from './call-profiles.js';
 import {expectedLoss, expectedTime} from './expected-time.js';
-import {createView, type ExecutorView} from './executor-view.js';
+import {ExecutorViews, type ExecutorView} from './executor-view.js';
 import type {AttemptNews, Placement, PlacementQuery} from './placement.js';
 
 /** What a way costs besides its time. */
@@ -45,8 +45,6 @@
 const speedMemory: Millis = 500;
 /** A failure share is believed for so long, so that a backend server that failed is tried again. */
 const failureMemory: Millis = 4000;
-/** Slowdown up to which a run time counts as one at the usual speed. */
-const usualSpeed = 1.3;
 /** Loss that an executor to avoid is given. */
 const avoidLoss = 5;
 /** Loss for each objective's length of expected time: the faster of two that are in time is taken. */
@@ -76,7 +74,7 @@
  * known of an executor's speed and load fades with its age.
  */
 export class ObjectivePlacement implements Placement {
-	private readonly views = new Map<string, ExecutorView>();
+	private readonly views = new ExecutorViews();
 	private readonly profiles = new CallProfiles();
 	private usualSlowdown = 1;
 
@@ -139,18 +137,11 @@
 	}
 
 	noteSent(_query: PlacementQuery, executor: Member): void {
-		const view = this.view(executor.id);
-		view.outstanding += 1;
-		view.sentAtSum += this.parts.clock.now();
+		this.views.noteSent(executor.id, this.parts.clock.now());
 	}
 
 	noteEnded(query: PlacementQuery, executor: Member, news: AttemptNews): void {
-		const view = this.view(executor.id);
-		if (view.outstanding > 0) {
-			view.outstanding -= 1;
-			view.sentAtSum -= news.sentAt;
-		}
-
+		this.views.noteEnded(executor.id, news.sentAt);
 		if (news.load) {
 			this.learn(query, executor, news, news.load);
 			this.noteLoad(executor.id, news.load);
@@ -167,19 +158,16 @@
 			return;
 		}
 
-		const view = this.view(id);
-		view.load = load;
-		view.reportedAt = this.parts.clock.now();
-		view.outstandingAtReport = view.outstanding;
+		this.views.noteLoad(id, load, this.parts.clock.now());
 		this.usualSlowdown += (load.slowdown - this.usualSlowdown) * 0.01;
 	}
 
 	avoid(id: string, span: Millis): void {
-		this.view(id).avoidUntil = this.parts.clock.now() + span;
+		this.views.of(id).avoidUntil = this.parts.clock.now() + span;
 	}
 
 	forget(id: string): void {
-		this.views.delete(id);
+		this.views.forget(id);
 	}
 
 	private learn(
@@ -188,8 +176,8 @@
 		news: AttemptNews,
 		load: LoadReport,
 	): void {
-		const before = this.views.get(executor.id)?.load?.slowdown ?? 1;
-		const isUsual = before <= usualSpeed && load.slowdown <= usualSpeed;
+		const before = this.views.of(executor.id).load?.slowdown ?? 1;
+		const isUsual = isUsualSpeed(before) && isUsualSpeed(load.slowdown);
 		if (isUsual && news.answerBytes !== undefined && !news.isFailure) {
 			const way = roundTrips[distanceBetween(this.parts.self(), executor)];
 			const work = Math.max(1, this.parts.clock.now() - news.sentAt - way);
@@ -215,7 +203,7 @@
 
 	private judge(query: PlacementQuery, member: Member): Judged {
 		const now = this.parts.clock.now();
-		const view = this.view(member.id);
+		const view = this.views.of(member.id);
 		const distance = distanceBetween(this.parts.self(), member);
 		const profile = this.profiles.of(query.kind, query.objective);
 		const time = expectedTime({
@@ -263,16 +251,6 @@
 		const trust = Math.exp(-(now - view.reportedAt) / speedMemory);
 		return this.usualSlowdown + (view.load.slowdown - this.usualSlowdown) * trust;
 	}
-
-	private view(id: string): ExecutorView {
-		let view = this.views.get(id);
-		if (!view) {
-			view = createView();
-			this.views.set(id, view);
-		}
-
-		return view;
-	}
 }
 
 // Work of other ingresses fades; an ingress need not be told of its own.
--- a/src/routing/weighted-split.ts
+++ b/src/routing/weighted-split.ts
@@ -1,5 +1,9 @@
+import {LRUCache} from 'lru-cache';
 import type {RoutePolicy} from '../declaration/index.js';
 
+/** Routes whose credits are kept; those that were used longest ago are forgotten first. */
+const maxSplits = 10_000;
+
 type Split = {readonly weights: string; readonly credits: number[]};
 
 /**
@@ -8,7 +12,7 @@
  * Source: smooth weighted round-robin, as in several well-known load balancers.
  */
 export class WeightedSplit {
-	private readonly splits = new Map<string, Split>();
+	private readonly splits = new LRUCache<string, Split>({max: maxSplits});
 
 	/**
 	 * @param route - the route of a request.
@@ -33,19 +37,6 @@
 		return targets[best]!.service;
 	}
 
-	/**
-	 * Forgets routes that are gone.
-	 * @param routes - the routes that there are.
-	 */
-	retain(routes: readonly RoutePolicy[]): void {
-		const names = new Set(routes.map((route) => route.name));
-		for (const name of this.splits.keys()) {
-			if (!names.has(name)) {
-				this.splits.delete(name);
-			}
-		}
-	}
-
 	private split(route: RoutePolicy): Split {
 		const weights = route.targets.map(({service, weight}) => `${service}=${weight}`).join(' ');
 		const known = this.splits.get(route.name);
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -30,9 +30,8 @@
 export interface BudgetSettings {
 	/** As a share of the requests for the service. */
 	readonly ratio: number;
-	/** Besides the share, in each window. */
+	/** Besides the share, in each window of the operators' count. */
 	readonly slack: number;
-	readonly window: Millis;
 }
 
 /** What a node learns from its settings file. */
@@ -117,7 +116,6 @@
 	return {
 		ratio: reader.number('ratio', {min: 0, max: 1, fallback: 0.2}),
 		slack: reader.number('slack', {min: 0, max: 1_000_000, fallback: 10}),
-		window: reader.duration('window', {min: second, max: 60 * second, fallback: 10 * second}),
 	};
 }
 
