Ask the store less: two readers a zone, long waits, and no reading by those that were found

Change: a node that starts anew reads first and writes only if its row is missing; at the very first start it writes, and reads only if nobody has found it within 300 ms; it introduces itself to at most 16, 8 and 2 members by distance; two readers a zone wait 12 s; a reader counts as gone as soon as it is suspected, and a node that hears of nobody for 0.8 s reads for itself. RevisionAgent takes its readers from the same function. The tests' gossip is built in one place. Ruled out: fewer readers by region, as a cut zone would have none. Tests: roster.test.ts (calls, joins, newcomers), readers.test.ts.

--- a/src/control/__tests__/unit/configuration-feed.test.ts
+++ b/src/control/__tests__/unit/configuration-feed.test.ts
@@ -2,7 +2,7 @@
 import {ManualClock} from '../../../clock/index.js';
 import {RevisionKeeper, type Declaration} from '../../../declaration/index.js';
 import type {LinkHub} from '../../../link/index.js';
-import {createSelf, defaultGossipSettings, Gossip} from '../../../membership/index.js';
+import {createTestGossip} from '../../../membership/__tests__/test-gossip.js';
 import {createRandom} from '../../../random/index.js';
 import {
 	HistoryLostError,
@@ -14,7 +14,6 @@
 import {ConfigurationFeed, type ConfigurationSource} from '../../index.js';
 
 const declaration: Declaration = {deployment: '', services: [], calls: [], links: []};
-const noNews = {accepted: 0, acceptedHash: '', staged: 0, stagedHash: ''};
 const source: ConfigurationSource = {
 	table: 'op',
 	key: 'config',
@@ -65,20 +64,7 @@
 			events.push(event.name);
 		},
 	};
-	const gossip = new Gossip(createSelf('10.0.0.1:7001', 1, {region: 'r', zone: 'z'}), {
-		settings: defaultGossipSettings,
-		clock,
-		random: createRandom(1),
-		host: {
-			send: () => undefined,
-			mayProbe: () => true,
-			revisionNews: () => noNews,
-			hearRevisionNews: () => undefined,
-			hearRumor: () => undefined,
-			hearHeld: () => undefined,
-			hearPause: () => undefined,
-		},
-	});
+	const gossip = createTestGossip(clock);
 	const inForce: number[] = [];
 	keeper.registerListener(({revision}) => {
 		inForce.push(revision);
--- /dev/null
+++ b/src/control/__tests__/unit/readers.test.ts
@@ -0,0 +1,63 @@
+import {describe, expect, it} from 'vitest';
+import {ManualClock} from '../../../clock/index.js';
+import {createSelf, GossipType, Liveness, type Gossip} from '../../../membership/index.js';
+import {createTestGossip} from '../../../membership/__tests__/test-gossip.js';
+import {mustRead, readersOf} from '../../index.js';
+
+const sizes = 20;
+
+function createZone() {
+	const clock = new ManualClock(1000);
+	const gossip = createTestGossip(clock);
+	for (let i = 2; i <= sizes; i++) {
+		gossip.directory.merge(createSelf(`10.0.0.${i}:7001`, 1, {region: 'r', zone: 'z'}));
+		gossip.directory.merge(createSelf(`10.0.1.${i}:7001`, 1, {region: 'r', zone: 'y'}));
+	}
+
+	return {clock, gossip};
+}
+
+function setLiveness(gossip: Gossip, id: string, liveness: Liveness): void {
+	gossip.directory.merge({...gossip.directory.get(id)!, liveness});
+}
+
+function hearFrom(gossip: Gossip, id: string): void {
+	gossip.receive({type: GossipType.Held, sender: {id, incarnation: 1, version: 1}, revision: 0});
+}
+
+describe('readersOf', () => {
+	it('names two members of the own zone', () => {
+		const readers = readersOf(createZone().gossip);
+		expect(readers).toHaveLength(2);
+		expect(readers.every((id) => id.startsWith('10.0.0.'))).toBe(true);
+	});
+
+	it('replaces a reader as soon as it is suspected', () => {
+		const {gossip} = createZone();
+		const suspect = readersOf(gossip).find((id) => id !== gossip.account.id)!;
+		setLiveness(gossip, suspect, Liveness.Suspect);
+		expect(readersOf(gossip)).not.toContain(suspect);
+		expect(readersOf(gossip)).toHaveLength(2);
+	});
+});
+
+describe('mustRead', () => {
+	it('leaves the reading to the readers while others are heard', () => {
+		const {clock, gossip} = createZone();
+		hearFrom(gossip, '10.0.0.2:7001');
+		expect(mustRead(gossip, clock)).toBe(readersOf(gossip).includes(gossip.account.id));
+	});
+
+	it('lets a node that hears of nobody read for itself', () => {
+		const {clock, gossip} = createZone();
+		for (const id of readersOf(gossip)) {
+			setLiveness(gossip, id, Liveness.Alive);
+		}
+
+		hearFrom(gossip, '10.0.0.2:7001');
+		clock.advance(1000);
+		expect(mustRead(gossip, clock)).toBe(true);
+		hearFrom(gossip, '10.0.0.3:7001');
+		expect(mustRead(gossip, clock)).toBe(readersOf(gossip).includes(gossip.account.id));
+	});
+});
--- a/src/control/__tests__/unit/roster.test.ts
+++ b/src/control/__tests__/unit/roster.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {ManualClock} from '../../../clock/index.js';
-import {createSelf, defaultGossipSettings, Gossip} from '../../../membership/index.js';
+import {createSelf} from '../../../membership/index.js';
+import {createTestGossip} from '../../../membership/__tests__/test-gossip.js';
 import {createRandom} from '../../../random/index.js';
 import {
 	Expect,
@@ -14,10 +15,10 @@
 import {Roster} from '../../index.js';
 
 const place = {region: 'r', zone: 'z'};
-const noNews = {accepted: 0, acceptedHash: '', staged: 0, stagedHash: ''};
 
 class FakeTable implements TableService {
 	readonly rows = new Map<string, Row>();
+	calls = 0;
 	isDown = false;
 	private etag = 0;
 
@@ -41,6 +42,7 @@
 	}
 
 	private check(): void {
+		this.calls += 1;
 		if (this.isDown) {
 			throw new StoreUnavailableError('down');
 		}
@@ -65,64 +67,117 @@
 	}
 }
 
-function createWorld() {
+function createWorld(isFirstStart = false) {
 	const clock = new ManualClock(1000);
 	const joined: string[] = [];
-	const gossip = new Gossip(createSelf('10.0.0.1:7001', 1, place), {
-		settings: defaultGossipSettings,
-		clock,
-		random: createRandom(1),
-		host: {
-			send(to) {
-				joined.push(to);
-			},
-			mayProbe: () => true,
-			revisionNews: () => noNews,
-			hearRevisionNews: () => undefined,
-			hearRumor: () => undefined,
-			hearHeld: () => undefined,
-			hearPause: () => undefined,
+	const gossip = createTestGossip(clock, {
+		send(to) {
+			joined.push(to);
 		},
 	});
 	const store = new FakeTable();
-	const roster = new Roster({clock, logger: silentLogger, gossip, store});
-	const addRow = async (id: string) => {
-		await store.write([{key: `members/${id}`, value: '{}', expect: Expect.Any}]);
+	const random = createRandom(2);
+	const roster = new Roster({clock, random, logger: silentLogger, gossip, store, isFirstStart});
+	const addRow = async (id: string, value = '{}') => {
+		await store.write([{key: `members/${id}`, value, expect: Expect.Any}]);
 	};
 
-	return {clock, gossip, store, roster, joined, addRow};
+	const play = async (span: number) => {
+		for (let i = 0; i < span; i += 20) {
+			for (let turn = 0; turn < 10; turn++) {
+				await Promise.resolve();
+			}
+
+			clock.advance(20);
+		}
+	};
+
+	const meet = (id: string) => {
+		gossip.directory.merge(createSelf(id, 1, place));
+	};
+
+	return {clock, gossip, store, roster, joined, addRow, play, meet};
 }
 
 const minutes = 60_000;
 
 describe('Roster', () => {
-	it('writes its own row before it reads the others, and joins them', async () => {
-		const {roster, store, joined, addRow} = createWorld();
+	it('reads the others, writes its row where it is missing, and joins them', async () => {
+		const {roster, store, joined, addRow, play, meet} = createWorld();
 		await addRow('10.0.0.2:7001');
-		await roster.enroll();
+		const enrolled = roster.enroll();
+		await play(200);
 		expect(store.rows.has('members/10.0.0.1:7001')).toBe(true);
 		expect(joined).toEqual(['10.0.0.2:7001']);
+		meet('10.0.0.2:7001');
+		await play(500);
+		await enrolled;
 	});
 
-	it('goes on until the store is back', async () => {
-		const {roster, store, clock, joined, addRow} = createWorld();
+	it('writes nothing when its row is there', async () => {
+		const {roster, store, addRow, play, meet} = createWorld();
+		await addRow('10.0.0.1:7001');
 		await addRow('10.0.0.2:7001');
-		store.isDown = true;
-		const enrolled = roster.enroll();
-		for (let i = 0; i < 5; i++) {
-			await Promise.resolve();
-			clock.advance(1000);
+		store.calls = 0;
+		void roster.enroll();
+		meet('10.0.0.2:7001');
+		await play(2000);
+		expect(store.calls).toBeLessThanOrEqual(1);
+	});
+
+	it('reads nothing at the first start when others have found it', async () => {
+		const {roster, store, play, meet} = createWorld(true);
+		void roster.enroll();
+		await play(1);
+		meet('10.0.0.2:7001');
+		await play(2000);
+		expect(store.calls).toBe(1);
+		expect(store.rows.has('members/10.0.0.1:7001')).toBe(true);
+	});
+
+	it('finds a newcomer that wrote its row after the first reading', async () => {
+		const {roster, joined, addRow, play} = createWorld();
+		void roster.enroll();
+		await play(100);
+		await addRow('10.0.0.2:7001');
+		await play(3000);
+		expect(joined).toContain('10.0.0.2:7001');
+	});
+
+	it('knocks again while nobody has answered, without reading each time', async () => {
+		const {roster, store, joined, addRow, play} = createWorld();
+		await addRow('10.0.0.2:7001');
+		store.calls = 0;
+		void roster.enroll();
+		await play(900);
+		expect(joined.length).toBeGreaterThanOrEqual(3);
+		expect(store.calls).toBeLessThanOrEqual(2);
+	});
+
+	it('introduces itself to a bounded number of members, most of them near', async () => {
+		const {roster, joined, addRow, play} = createWorld();
+		for (let i = 1; i <= 100; i++) {
+			await addRow(`10.0.1.${i}:7001`, '{"region":"r","zone":"z"}');
+			await addRow(`10.0.2.${i}:7001`, '{"region":"r","zone":"y"}');
+			await addRow(`10.0.3.${i}:7001`, '{"region":"q","zone":"x"}');
 		}
 
+		void roster.enroll();
+		await play(100);
+		const count = (start: string) => joined.filter((id) => id.startsWith(start)).length;
+		expect([count('10.0.1.'), count('10.0.2.'), count('10.0.3.')]).toEqual([16, 8, 2]);
+	});
+
+	it('goes on until the store is back', async () => {
+		const {roster, store, joined, addRow, play} = createWorld();
+		await addRow('10.0.0.2:7001');
+		store.isDown = true;
+		void roster.enroll();
+		await play(5000);
 		expect(joined).toEqual([]);
 		store.isDown = false;
-		for (let i = 0; i < 20; i++) {
-			await Promise.resolve();
-			clock.advance(100);
-		}
-
-		await enrolled;
-		expect(joined).toEqual(['10.0.0.2:7001']);
+		await play(1000);
+		expect(joined).toContain('10.0.0.2:7001');
 	});
 
 	it('drops the row of a node that has been gone for long, and no other', async () => {
@@ -143,8 +198,9 @@
 	});
 
 	it('restores its own row', async () => {
-		const {roster, store} = createWorld();
-		await roster.enroll();
+		const {roster, store, play} = createWorld();
+		void roster.enroll();
+		await play(100);
 		store.rows.clear();
 		await roster.audit();
 		expect(store.rows.has('members/10.0.0.1:7001')).toBe(true);
--- a/src/control/configuration-feed.ts
+++ b/src/control/configuration-feed.ts
@@ -52,12 +52,12 @@
 }
 
 /** Longest wait for a change; a connection that went silent is found out a second later. */
-const feedWait: Millis = 6 * second;
+const feedWait: Millis = 12 * second;
 /** Bounds of the pause after a failure, so that a store that is back is found soon. */
 const firstRetry: Millis = 100;
 const longestRetry: Millis = 800;
 /** How often a node that leaves the reading to others looks whether it has become a reader. */
-const readerCheckPeriod: Millis = second;
+const readerCheckPeriod: Millis = 300;
 /** How often content that peers told of is looked for. */
 const fetchPeriod: Millis = 150;
 const pushFanOut = 4;
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -5,6 +5,7 @@
 	type WrittenConfiguration,
 } from './configuration-feed.js';
 export {ContentFetcher} from './content-fetcher.js';
+export {mustRead, readersOf} from './readers.js';
 export {Roster, type RosterParts} from './roster.js';
 export {DeclarationStore, HeadWrite, type HeadRow} from './declaration-store.js';
 export {RevisionAgent, type RevisionAgentParts} from './revision-agent.js';
--- a/src/control/revision-agent.ts
+++ b/src/control/revision-agent.ts
@@ -5,9 +5,10 @@
 import type {Random} from '../random/index.js';
 import {StoreUnavailableError} from '../store/index.js';
 import {logEvents, type Logger} from '../telemetry/index.js';
-import {pause, rendezvous} from '../util/index.js';
+import {pause} from '../util/index.js';
 import {ContentFetcher} from './content-fetcher.js';
 import {HeadWrite, type DeclarationStore, type HeadRow} from './declaration-store.js';
+import {readersOf} from './readers.js';
 import {zoneName} from './store-keys.js';
 import {ZoneHoldings} from './zone-holdings.js';
 
@@ -23,7 +24,6 @@
 	readonly store: DeclarationStore | undefined;
 }
 
-const readersPerZone = 2;
 const pollPeriod: Millis = 400;
 const pendingPollPeriod: Millis = 150;
 const reportPeriod: Millis = second;
@@ -113,22 +113,9 @@
 		}
 	}
 
-	/** @returns ids of the nodes that read the store for this zone. */
-	readers(): string[] {
-		const self = this.parts.gossip.account;
-		const ids: string[] = [];
-		for (const member of this.parts.gossip.directory.all()) {
-			if (member.zone === self.zone && member.region === self.region && isPresent(member)) {
-				ids.push(member.id);
-			}
-		}
-
-		return rendezvous(zoneName(self.region, self.zone), ids, readersPerZone);
-	}
-
 	/** Whether this node reads the store for its zone. */
 	get isReader(): boolean {
-		return this.readers().includes(this.parts.gossip.account.id);
+		return readersOf(this.parts.gossip).includes(this.parts.gossip.account.id);
 	}
 
 	private async poll(): Promise<void> {
@@ -170,7 +157,7 @@
 		const now = this.parts.clock.now();
 		if (now >= this.nextZone) {
 			const {region, zone} = this.parts.gossip.account;
-			await store.registerZone(zoneName(region, zone), this.readers());
+			await store.registerZone(zoneName(region, zone), readersOf(this.parts.gossip));
 			this.nextZone = now + zonePeriod;
 		}
 	}
@@ -227,7 +214,7 @@
 		}
 
 		this.nextReport = now + reportPeriod;
-		for (const reader of this.readers()) {
+		for (const reader of readersOf(this.parts.gossip)) {
 			if (reader !== gossip.account.id) {
 				gossip.reportHeld(reader, held);
 			}
--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -1,5 +1,6 @@
-import {minute, type Clock, type Millis} from '../clock/index.js';
+import {minute, second, type Clock, type Millis} from '../clock/index.js';
 import {isPresent, type Gossip} from '../membership/index.js';
+import {sample, type Random} from '../random/index.js';
 import {Expect, type Row, type TableService, StoreUnavailableError} from '../store/index.js';
 import {logEvents, type Logger} from '../telemetry/index.js';
 import {pause, rendezvous} from '../util/index.js';
@@ -8,12 +9,28 @@
 /** What a roster is made of. */
 export interface RosterParts {
 	readonly clock: Clock;
+	readonly random: Random;
 	readonly logger: Logger;
 	readonly gossip: Gossip;
 	readonly store: TableService;
+	/** Whether the whole deployment starts for the first time, so that no row is there yet. */
+	readonly isFirstStart: boolean;
 }
 
+type Place = {readonly region?: unknown; readonly zone?: unknown};
+
 const retryPeriod: Millis = 300;
+/** Over so long the nodes of a deployment that starts spread their reading: most are found before. */
+const firstReadSpread: Millis = 300;
+/** How often a node that has found nobody knocks again at those that it has read of. */
+const knockPeriod: Millis = 250;
+/** Bounds of the time until a node that has found nobody reads anew; it doubles. */
+const firstRereadTime: Millis = second;
+const longestRereadTime: Millis = 30 * second;
+/** How many members a newcomer introduces itself to; gossip brings the others. */
+const joinedInZone = 16;
+const joinedInRegion = 8;
+const joinedElsewhere = 2;
 /** How often a node makes sure that its row is there, and looks for rows of nodes that are gone. */
 const auditPeriod: Millis = 5 * minute;
 /** How long a member must have been gone before its row is dropped. */
@@ -22,8 +39,9 @@
 const auditors = 2;
 
 /**
- * The nodes of the deployment as rows of the platform's store: a newcomer writes its row and then
- * reads the others, so that of two newcomers at least one finds the other. Gossip does the rest.
+ * The nodes of the deployment as rows of the platform's store. A node that starts reads them and
+ * introduces itself to some; gossip does the rest. Each call to the store has its price, so a node
+ * that was found by others first reads nothing, and one whose row is there writes nothing.
  */
 export class Roster {
 	private readonly goneSince = new Map<string, Millis>();
@@ -31,25 +49,19 @@
 
 	constructor(private readonly parts: RosterParts) {}
 
-	/** Registers this node and joins the others; goes on until the store has answered. */
+	/** Registers this node and joins the others; goes on until one is found. */
 	async enroll(): Promise<void> {
-		const {clock, gossip, logger} = this.parts;
-		while (!this.isStopped) {
-			try {
-				await this.register(Expect.Any); // eslint-disable-line no-await-in-loop
-				const rows = await this.read(); // eslint-disable-line no-await-in-loop
-				for (const id of rows.keys()) {
-					if (id !== gossip.account.id) {
-						gossip.join(id);
-					}
-				}
-
-				logger.log(logEvents.rosterRead, {members: rows.size});
-				return;
-			} catch (err) {
-				this.noteFailure(err);
-				await pause(clock, retryPeriod); // eslint-disable-line no-await-in-loop
-			}
+		const {clock, random, isFirstStart} = this.parts;
+		if (isFirstStart) {
+			await this.persist(async () => this.register(Expect.Any));
+			await pause(clock, firstReadSpread * random.next());
+		}
+
+		let rereadTime = firstRereadTime;
+		while (!this.isStopped && !this.isJoined()) {
+			const rows = await this.persist(async () => this.readAndRegister()); // eslint-disable-line no-await-in-loop
+			await this.knock(rows ?? new Map(), clock.now() + rereadTime); // eslint-disable-line no-await-in-loop
+			rereadTime = Math.min(longestRereadTime, rereadTime * 2);
 		}
 	}
 
@@ -78,6 +90,75 @@
 		}
 	}
 
+	private isJoined(): boolean {
+		return this.parts.gossip.directory.countPresent() > 1;
+	}
+
+	private async persist<T>(attempt: () => Promise<T>): Promise<T | undefined> {
+		while (!this.isStopped) {
+			try {
+				return await attempt(); // eslint-disable-line no-await-in-loop
+			} catch (err) {
+				this.noteFailure(err);
+				await pause(this.parts.clock, retryPeriod); // eslint-disable-line no-await-in-loop
+			}
+		}
+
+		return undefined;
+	}
+
+	// Two newcomers that read before either has written find each other when they read anew.
+	private async readAndRegister(): Promise<Map<string, Row>> {
+		const {gossip, logger} = this.parts;
+		const rows = await this.read();
+		logger.log(logEvents.rosterRead, {members: rows.size});
+		if (!rows.has(gossip.account.id)) {
+			void this.persist(async () => this.register(Expect.Any));
+		}
+
+		return rows;
+	}
+
+	// Members that start at the same time may not listen yet.
+	private async knock(rows: ReadonlyMap<string, Row>, until: Millis): Promise<void> {
+		const {clock} = this.parts;
+		do {
+			this.introduce(rows);
+			await pause(clock, knockPeriod); // eslint-disable-line no-await-in-loop
+		} while (!this.isStopped && !this.isJoined() && clock.now() < until);
+	}
+
+	private introduce(rows: ReadonlyMap<string, Row>): void {
+		const {gossip, random} = this.parts;
+		const {id: self, region, zone} = gossip.account;
+		const inZone: string[] = [];
+		const inRegion: string[] = [];
+		const elsewhere: string[] = [];
+		for (const [id, row] of rows) {
+			const place = parsePlace(row.value);
+			if (id === self) {
+				continue;
+			}
+
+			if (place.region !== region) {
+				elsewhere.push(id);
+			} else if (place.zone === zone) {
+				inZone.push(id);
+			} else {
+				inRegion.push(id);
+			}
+		}
+
+		const drawn = [
+			...sample(inZone, joinedInZone, random),
+			...sample(inRegion, joinedInRegion, random),
+			...sample(elsewhere, joinedElsewhere, random),
+		];
+		for (const id of drawn) {
+			gossip.join(id);
+		}
+	}
+
 	private noteFailure(err: unknown): void {
 		const {logger} = this.parts;
 		if (err instanceof StoreUnavailableError) {
@@ -128,3 +209,13 @@
 		}
 	}
 }
+
+// A row that another writer has spoiled still names a member: it counts as one far away.
+function parsePlace(text: string): Place {
+	try {
+		const place: unknown = JSON.parse(text);
+		return typeof place === 'object' && place !== null ? place : {};
+	} catch {
+		return {};
+	}
+}
--- a/src/ingress/__tests__/unit/call-runner.test.ts
+++ b/src/ingress/__tests__/unit/call-runner.test.ts
@@ -12,7 +12,8 @@
 	type AttemptResult,
 	type Call,
 } from '../../../exchange/index.js';
-import {createSelf, defaultGossipSettings, Gossip, MemberPhase} from '../../../membership/index.js';
+import {createSelf, MemberPhase} from '../../../membership/index.js';
+import {createTestGossip} from '../../../membership/__tests__/test-gossip.js';
 import {createRandom} from '../../../random/index.js';
 import {ExpectedWaitPolicy} from '../../../routing/index.js';
 import {Metrics, silentLogger} from '../../../telemetry/index.js';
@@ -53,7 +54,6 @@
 	calls: [policy],
 	links: [],
 });
-const news = {accepted: 0, acceptedHash: '', staged: 0, stagedHash: ''};
 
 function createRunner(
 	executors: number,
@@ -62,20 +62,7 @@
 	const clock = new ManualClock(1000);
 	const random = createRandom(1);
 	const place = {region: 'r', zone: 'z'};
-	const gossip = new Gossip(createSelf('10.0.0.1:7001', 1, place), {
-		settings: defaultGossipSettings,
-		clock,
-		random,
-		host: {
-			send: () => undefined,
-			mayProbe: () => true,
-			revisionNews: () => news,
-			hearRevisionNews: () => undefined,
-			hearRumor: () => undefined,
-			hearHeld: () => undefined,
-			hearPause: () => undefined,
-		},
-	});
+	const gossip = createTestGossip(clock);
 	for (let i = 0; i < executors; i++) {
 		const member = createSelf(`10.0.1.${i + 1}:7001`, 1, place);
 		gossip.directory.merge({...member, phase: MemberPhase.Serving, service: 's', slots: 10});
--- a/src/ini/section-reader.ts
+++ b/src/ini/section-reader.ts
@@ -124,6 +124,15 @@
 		return found ?? fallback;
 	}
 
+	/**
+	 * @param key - name of the key.
+	 * @param fallback - taken when the key is missing.
+	 * @returns whether the key says `true`.
+	 */
+	flag(key: string, fallback: boolean): boolean {
+		return this.choice(key, ['true', 'false'], String(fallback)) === 'true';
+	}
+
 	/**
 	 * Adds a finding about a key.
 	 * @param key - name of the key.
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -118,6 +118,7 @@
 	private digestPeriod: Millis;
 	private readonly repairBudget: TokenBucket;
 	private quietUntil = 0;
+	private heardAt: Millis;
 
 	private readonly settings: GossipSettings;
 	private readonly clock: Pick<Clock, 'now'>;
@@ -135,6 +136,7 @@
 		this.farQueue = new UpdateQueue(settings.farCopies, settings.queueCapacity);
 		this.targets = new ProbeTargets(() => this.self, this.directory, settings, random);
 		this.lastTick = clock.now();
+		this.heardAt = clock.now();
 		this.nextDigest = clock.now();
 		this.nextReachOut = clock.now();
 		this.digestPeriod = settings.shortDigestPeriod;
@@ -151,6 +153,11 @@
 		return this.self;
 	}
 
+	/** When something last came from any member. */
+	get lastHeard(): Millis {
+		return this.heardAt;
+	}
+
 	/** Pieces of news that still wait to be sent. */
 	get pendingNews(): number {
 		return this.nearQueue.size;
@@ -251,6 +258,7 @@
 	 * @param message - what came.
 	 */
 	receive(message: GossipMessage): void {
+		this.heardAt = this.clock.now();
 		this.noteSender(message.sender);
 		switch (message.type) {
 			case GossipType.Ping: {
--- a/src/node/__tests__/unit/backend-keeper.test.ts
+++ b/src/node/__tests__/unit/backend-keeper.test.ts
@@ -3,30 +3,15 @@
 import {ManualClock, type Millis} from '../../../clock/index.js';
 import {RevisionKeeper} from '../../../declaration/index.js';
 import {Executor, TurmericBackendProtocol} from '../../../executor/index.js';
-import {createSelf, defaultGossipSettings, Gossip, MemberPhase} from '../../../membership/index.js';
-import {createRandom} from '../../../random/index.js';
+import {MemberPhase} from '../../../membership/index.js';
+import {createTestGossip} from '../../../membership/__tests__/test-gossip.js';
 import {Metrics, silentLogger} from '../../../telemetry/index.js';
 import {AnnouncedState, type Announcement} from '../../announcement.js';
 import {BackendKeeper} from '../../backend-keeper.js';
 
-const noNews = {accepted: 0, acceptedHash: '', staged: 0, stagedHash: ''};
-
 function createWorld() {
 	const clock = new ManualClock(1000);
-	const gossip = new Gossip(createSelf('10.0.0.1:7001', 1, {region: 'r', zone: 'z'}), {
-		settings: defaultGossipSettings,
-		clock,
-		random: createRandom(1),
-		host: {
-			send: () => undefined,
-			mayProbe: () => true,
-			revisionNews: () => noNews,
-			hearRevisionNews: () => undefined,
-			hearRumor: () => undefined,
-			hearHeld: () => undefined,
-			hearPause: () => undefined,
-		},
-	});
+	const gossip = createTestGossip(clock);
 	const executor = new Executor({
 		clock,
 		metrics: new Metrics(),
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -60,6 +60,8 @@
 	readonly logLevel: LogLevel;
 	/** Seed of the random numbers; undefined for one of its own. */
 	readonly randomSeed: number | undefined;
+	/** Whether the whole deployment starts for the first time, so that the store knows no node. */
+	readonly isFirstStart: boolean;
 }
 
 const knownSections = new Set(['node', 'peers', 'store', 'log', 'backend', 'ways', 'budgets']);
@@ -169,6 +171,7 @@
 			fallback: 60 * second,
 		}),
 		randomSeed: readSeed(node),
+		isFirstStart: node.flag('first-start', false),
 		seeds: readEndpoints(peers, 'seeds'),
 		secret,
 		store: readEndpoints(store, 'address')[0],
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -1,5 +1,5 @@
 import {second, type Clock, type Millis} from '../clock/index.js';
-import {ConfigurationFeed, Roster, type ConfigurationSource} from '../control/index.js';
+import {ConfigurationFeed, mustRead, Roster, type ConfigurationSource} from '../control/index.js';
 import type {DeclarationIndex} from '../declaration/index.js';
 import {createUnknown} from '../exchange/index.js';
 import {RefusalReason} from '../call/index.js';
@@ -22,7 +22,7 @@
 import type {NodeSettings} from '../settings/index.js';
 import type {RowFeed, TableService} from '../store/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
-import {pause, rendezvous} from '../util/index.js';
+import {pause} from '../util/index.js';
 import {NodeCore, type CoreHooks} from './node-core.js';
 import {registerOperatorRoutes} from './operator-routes.js';
 
@@ -63,9 +63,6 @@
 const missedAnnouncements = 6;
 /** Speed readings a second that are wanted; answers bring most of them for nothing. */
 const speedProbes: ProbeRate = {period: 100, speedAge: 200, budget: 150};
-/** Nodes of a zone that follow the store for the others, where there are more than a few. */
-const readersPerZone = 3;
-const smallZone = 4;
 /** Up to so many members, each node keeps a link to every other, so that load news reach it. */
 const fullMeshMembers = 32;
 /** Connections stay open longer than callers may use them idle. */
@@ -104,7 +101,8 @@
 		this.store = surroundings.createStore(metrics);
 		const {store} = this;
 		this.news = new LoadNews({clock, gossip, hub, report: () => executor.report()});
-		this.roster = new Roster({clock, logger, gossip, store});
+		const {isFirstStart} = settings;
+		this.roster = new Roster({clock, random, logger, gossip, store, isFirstStart});
 		this.feed = new ConfigurationFeed({
 			clock,
 			random,
@@ -114,7 +112,7 @@
 			hub,
 			store,
 			source,
-			isReader: () => this.isReader(),
+			isReader: () => mustRead(gossip, clock),
 		});
 		this.probe = new BackendProbe({
 			clock,
@@ -217,22 +215,6 @@
 		return isClean;
 	}
 
-	// In a large zone a few nodes follow the store and tell the others; which ones, follows from the
-	// membership. Two readers too many do no harm.
-	private isReader(): boolean {
-		const {directory, account} = this.core.gossip;
-		const ids: string[] = [];
-		for (const member of directory.all()) {
-			if (isPresent(member) && distanceBetween(account, member) === Distance.SameZone) {
-				ids.push(member.id);
-			}
-		}
-
-		return (
-			ids.length <= smallZone || rendezvous(account.zone, ids, readersPerZone).includes(account.id)
-		);
-	}
-
 	private findBackend(): void {
 		const {clock, logger} = this;
 		const {endpoint, service} = this.settings.backend;
