--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -30,9 +30,8 @@
 export interface BudgetSettings {
 	/** As a share of the requests for the service. */
 	readonly ratio: number;
-	/** Besides the share, in each window. */
+	/** Besides the share, in each window of the operators' count. */
 	readonly slack: number;
-	readonly window: Millis;
 }
 
 /** What a node learns from its settings file. */
@@ -61,6 +60,8 @@
 	readonly logLevel: LogLevel;
 	/** Seed of the random numbers; undefined for one of its own. */
 	readonly randomSeed: number | undefined;
+	/** Whether the whole deployment starts for the first time, so that the store knows no node. */
+	readonly isFirstStart: boolean;
 }
 
 const knownSections = new Set(['node', 'peers', 'store', 'log', 'backend', 'ways', 'budgets']);
@@ -117,7 +118,6 @@
 	return {
 		ratio: reader.number('ratio', {min: 0, max: 1, fallback: 0.2}),
 		slack: reader.number('slack', {min: 0, max: 1_000_000, fallback: 10}),
-		window: reader.duration('window', {min: second, max: 60 * second, fallback: 10 * second}),
 	};
 }
 
@@ -171,6 +171,7 @@
 			fallback: 60 * second,
 		}),
 		randomSeed: readSeed(node),
+		isFirstStart: node.flag('first-start', false),
 		seeds: readEndpoints(peers, 'seeds'),
 		secret,
 		store: readEndpoints(store, 'address')[0],
