--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -1,5 +1,11 @@
 import {minute, second, type Clock, type Millis} from '../clock/index.js';
-import {isPresent, type Gossip, type Member} from '../membership/index.js';
+import {
+	Distance,
+	distanceBetween,
+	isPresent,
+	type Gossip,
+	type Member,
+} from '../membership/index.js';
 import {sample, type Random} from '../random/index.js';
 import {Expect, type Row, type TableService, StoreUnavailableError} from '../store/index.js';
 import {logEvents, type Logger} from '../telemetry/index.js';
@@ -27,10 +33,18 @@
 /** Bounds of the time until a node that has found nobody reads anew; it doubles. */
 const firstRereadTime: Millis = second;
 const longestRereadTime: Millis = 30 * second;
-/** How many members a newcomer introduces itself to; gossip brings the others. */
-const joinedInZone = 3;
-const joinedInRegion = 2;
-const joinedElsewhere = 1;
+/** How many members a node that starts introduces itself to, by distance; gossip brings the others. */
+const joined: Readonly<Record<Distance, number>> = {
+	[Distance.SameZone]: 3,
+	[Distance.SameRegion]: 2,
+	[Distance.OtherRegion]: 1,
+};
+/** How many it greets, so that calls can go to those that live before their accounts are here. */
+const presumed: Readonly<Record<Distance, number>> = {
+	[Distance.SameZone]: 64,
+	[Distance.SameRegion]: 32,
+	[Distance.OtherRegion]: 16,
+};
 /** How often a node makes sure that its row is there, and looks for rows of nodes that are gone. */
 const auditPeriod: Millis = 5 * minute;
 /** How long a member must have been gone before its row is dropped. */
@@ -39,8 +53,8 @@
 const auditors = 2;
 
 /**
- * The nodes of the deployment as rows of the platform's store. A node that starts reads them, can send
- * calls to their members at once, and introduces itself to some; gossip does the rest. Each call to the store has its price, so a node
+ * The nodes of the deployment as rows of the platform's store. A node that starts reads them, greets
+ * many of their members, and introduces itself to some; gossip does the rest. Each call to the store has its price, so a node
  * that was found by others first reads nothing, and one whose row is there writes nothing.
  */
 export class Roster {
@@ -132,45 +146,38 @@
 		} while (!this.isStopped && !this.isJoined() && clock.now() < until);
 	}
 
+	private introduce(rows: ReadonlyMap<string, Row>): void {
+		const {gossip} = this.parts;
+		for (const id of this.draw(rows, joined)) {
+			gossip.join(id);
+		}
+	}
+
 	private presume(rows: ReadonlyMap<string, Row>): void {
 		const {gossip} = this.parts;
-		for (const [id, {value}] of rows) {
-			const place = parsePlace(value);
-			if (place && id !== gossip.account.id) {
+		for (const id of this.draw(rows, presumed)) {
+			const place = parsePlace(rows.get(id)!.value);
+			if (place) {
 				gossip.presume(id, place);
 			}
 		}
 	}
 
-	private introduce(rows: ReadonlyMap<string, Row>): void {
+	private draw(
+		rows: ReadonlyMap<string, Row>,
+		counts: Readonly<Record<Distance, number>>,
+	): string[] {
 		const {gossip, random} = this.parts;
-		const {id: self, region, zone} = gossip.account;
-		const inZone: string[] = [];
-		const inRegion: string[] = [];
-		const elsewhere: string[] = [];
+		const byDistance = new Map<Distance, string[]>();
 		for (const [id, row] of rows) {
-			const place = parsePlace(row.value);
-			if (id === self) {
-				continue;
-			}
-
-			if (place?.region !== region) {
-				elsewhere.push(id);
-			} else if (place.zone === zone) {
-				inZone.push(id);
-			} else {
-				inRegion.push(id);
+			if (id !== gossip.account.id) {
+				const place = parsePlace(row.value);
+				const distance = place ? distanceBetween(gossip.account, place) : Distance.OtherRegion;
+				byDistance.set(distance, [...(byDistance.get(distance) ?? []), id]);
 			}
 		}
 
-		const drawn = [
-			...sample(inZone, joinedInZone, random),
-			...sample(inRegion, joinedInRegion, random),
-			...sample(elsewhere, joinedElsewhere, random),
-		];
-		for (const id of drawn) {
-			gossip.join(id);
-		}
+		return [...byDistance].flatMap(([distance, ids]) => sample(ids, counts[distance], random));
 	}
 
 	private noteFailure(err: unknown): void {
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -25,6 +25,7 @@
 	Liveness,
 	MemberPhase,
 	presumedIncarnation,
+	presumedVersion,
 	type Member,
 } from './member.js';
 import {ProbeTargets} from './probe-targets.js';
@@ -198,15 +199,16 @@
 	}
 
 	/**
-	 * Takes a member that the store names for one that serves, until somebody tells of it. Calls may
-	 * go to it at once; a probe finds out soon when it is gone.
+	 * Greets a member that the store names. Once it gives a sign of life it is taken for one that
+	 * serves, until its account comes.
 	 * @param id - address of the member.
 	 * @param place - where it stands, and the service of its backend server.
 	 */
 	presume(id: string, place: Pick<Member, 'region' | 'zone' | 'service'>): void {
 		if (!this.directory.get(id)) {
 			const account = createSelf(id, presumedIncarnation, place);
-			this.directory.merge({...account, phase: MemberPhase.Serving, service: place.service});
+			this.directory.merge({...account, service: place.service});
+			this.ping(id, false);
 		}
 	}
 
@@ -559,6 +561,15 @@
 	// A message from a member is a sign of life; an unknown sender is asked for its account.
 	private noteSender(sender: Sender): void {
 		const known = this.directory.get(sender.id);
+		if (known && isPresumed(known)) {
+			this.directory.merge({
+				...known,
+				incarnation: sender.incarnation,
+				version: presumedVersion,
+				phase: MemberPhase.Serving,
+			});
+		}
+
 		const isUnknown = !known || known.incarnation < sender.incarnation;
 		const now = this.clock.now();
 		if (isUnknown && sender.id !== this.self.id && now >= this.quietUntil) {
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -55,6 +55,9 @@
 /** Incarnation of a member that is only known from the platform's store: every account overrides it. */
 export const presumedIncarnation = 0;
 
+/** Version of what is presumed of a member that lives: its own account overrides it. */
+export const presumedVersion = 0;
+
 /**
  * @param member - whom to judge.
  * @returns whether nobody has told of the member yet.
