Ask an idle backend server for its speed only when a call comes

Change: the speed is kept fresh only for a second after the last call; a call that comes later asks before it starts, as before.

--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -95,6 +95,7 @@
 	private isDraining = false;
 	private isSweeping = false;
 	private toldLevel = 0;
+	private askedAt = Number.NEGATIVE_INFINITY;
 	private warmUpSlowdown = 1;
 
 	constructor(private readonly parts: ExecutorParts) {
@@ -114,6 +115,11 @@
 		return this.speed.age(this.parts.clock.now());
 	}
 
+	/** Time since a call last asked to run here, in ms. */
+	get idleTime(): Millis {
+		return this.parts.clock.now() - this.askedAt;
+	}
+
 	/** Service of the backend server; undefined while there is none. */
 	get service(): string | undefined {
 		return this.target?.service;
@@ -205,6 +211,7 @@
 	}
 
 	async run(attempt: Attempt): Promise<AttemptResult> {
+		this.askedAt = this.parts.clock.now();
 		const result = await this.admit(attempt);
 		if (result.end === AttemptEnd.Refused) {
 			const {reason} = result;
--- a/src/node/backend-probe.ts
+++ b/src/node/backend-probe.ts
@@ -15,10 +15,24 @@
 	readonly period: Millis;
 	/** Age from which on the known speed is read anew; probes are due always where undefined. */
 	readonly speedAge: Millis | undefined;
+	/** How long after the last call the speed is still kept fresh; a call asks for it anyway. */
+	readonly idleAfter: Millis;
 	/** Time that probes may take at the backend server where nothing is declared, in ms a second. */
 	readonly budget: Millis;
 }
 
+/** What a probe needs to know of the executor, and tells it. */
+export interface ProbedExecutor {
+	/** Age of what is known of the backend server's speed, in ms. */
+	readonly speedAge: Millis;
+	/** Time since a call last asked to run here, in ms. */
+	readonly idleTime: Millis;
+	/**
+	 * @param slowdown - how many times longer than usual work takes.
+	 */
+	readSpeed(slowdown: number): void;
+}
+
 /** What a probe is made of. */
 export interface BackendProbeParts {
 	readonly clock: Clock;
@@ -27,7 +41,7 @@
 	readonly keeper: RevisionKeeper;
 	readonly protocol: BackendProtocol;
 	readonly rate: ProbeRate;
-	readonly executor: {readonly speedAge: Millis; readSpeed(slowdown: number): void};
+	readonly executor: ProbedExecutor;
 }
 
 const probeTimeout: Millis = second;
@@ -38,7 +52,25 @@
 const muteTime: Millis = second;
 
 /** A cross-check of the product's own announcements. */
-export const crossCheckRate: ProbeRate = {period: 2 * second, speedAge: undefined, budget: 6};
+export const crossCheckRate: ProbeRate = {
+	period: 2 * second,
+	speedAge: undefined,
+	idleAfter: Number.POSITIVE_INFINITY,
+	budget: 6,
+};
+
+/**
+ * @param rate - how often probes are wanted.
+ * @param executor - what is known there.
+ * @returns whether a probe is worth its cost now.
+ */
+export function isProbeDue(
+	{speedAge, idleAfter}: ProbeRate,
+	executor: Pick<ProbedExecutor, 'speedAge' | 'idleTime'>,
+): boolean {
+	const isOld = speedAge === undefined || executor.speedAge >= speedAge;
+	return isOld && executor.idleTime <= idleAfter;
+}
 
 /**
  * Asks the health endpoint of the backend server. Its verdict lags and misleads: a refused connection
@@ -59,7 +91,7 @@
 	/** Starts probing. */
 	start(): void {
 		this.parts.clock.repeat(this.parts.rate.period, () => {
-			if (this.isDue()) {
+			if (!this.out && isProbeDue(this.parts.rate, this.parts.executor)) {
 				void this.probeNow();
 			}
 		});
@@ -81,12 +113,6 @@
 		await Promise.race([this.out, pause(this.parts.clock, patience)]);
 	}
 
-	private isDue(): boolean {
-		const {rate, executor} = this.parts;
-		const isOld = rate.speedAge === undefined || executor.speedAge >= rate.speedAge;
-		return isOld && !this.out;
-	}
-
 	private async probe(): Promise<void> {
 		const {backend, clock, keeper, metrics, rate, protocol, executor} = this.parts;
 		const target = backend.current;
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -62,7 +62,7 @@
 /** Announcements that may be missed before a backend server counts as gone. */
 const missedAnnouncements = 6;
 /** Speed readings a second that are wanted; answers bring most of them for nothing. */
-const speedProbes: ProbeRate = {period: 100, speedAge: 200, budget: 150};
+const speedProbes: ProbeRate = {period: 100, speedAge: 200, idleAfter: second, budget: 150};
 /** Up to so many members, each node keeps a link to every other, so that load news reach it. */
 const fullMeshMembers = 32;
 /** Over so long after a member was found are links to it opened that no call has opened. */
