--- a/src/ingress/__tests__/unit/call-runner.test.ts
+++ b/src/ingress/__tests__/unit/call-runner.test.ts
@@ -17,6 +17,7 @@
 import {createRandom} from '../../../random/index.js';
 import {ExpectedWaitPolicy, type Placement} from '../../../routing/index.js';
 import {Metrics, silentLogger} from '../../../telemetry/index.js';
+import {withResolvers} from '../../../util/index.js';
 import {CallRunner, NearestFirstPlacement} from '../../index.js';
 
 const load: LoadReport = {
@@ -235,6 +236,7 @@
 			forget: () => undefined,
 		};
 		const sent: number[] = [];
+		const {promise: never} = withResolvers<AttemptResult>();
 		const runner = new CallRunner({
 			clock,
 			metrics: new Metrics(),
@@ -245,7 +247,7 @@
 			runnerTo: (executor) => ({
 				async run() {
 					sent.push(clock.now());
-					return executor === executors[0]!.id ? new Promise(() => undefined) : answered;
+					return executor === executors[0]!.id ? never : answered;
 				},
 			}),
 		});
--- a/src/routing/__tests__/unit/second-attempts.test.ts
+++ b/src/routing/__tests__/unit/second-attempts.test.ts
@@ -168,16 +168,6 @@
 			plain.play();
 			hedged.play();
 			const calls = played / spacing;
-			console.log(
-				seed,
-				'late plain',
-				calls - plain.inTime,
-				'hedged',
-				calls - hedged.inTime,
-				'lost',
-				plain.lost,
-				hedged.lost,
-			);
 			expect(calls - hedged.inTime).toBeLessThan((calls - plain.inTime) / 2);
 			expect(hedged.lost).toBeLessThan(plain.lost / 4);
 		},
