--- a/deploy/bundle/build.mjs
+++ b/deploy/bundle/build.mjs
@@ -26,7 +26,11 @@
  */
 function readNodeOptions() {
 	const [, run] = /^run = "node (.+)"$/mv.exec(readFileSync(`${root}deploy/system.toml`, 'utf8'));
-	return run.split(' ').filter((word) => word.startsWith('--max-'));
+	const words = run.split(' ');
+	return words.slice(
+		0,
+		words.findIndex((word) => !word.startsWith('-')),
+	);
 }
 
 rmSync(target, {recursive: true, force: true});
