Know how cold a backend server is: in the order of waiting, in holding and in what others are told

Ruled out: slow starts of nodes (ready 0.1 s after they listened, all within 0.3 s). Change: the best reading of the last 1.2 s is the baseline of a backend server; spells are told apart from it, and expected work is multiplied by it. Before the first run has ended, predictions use the expected work. Log lines are written in pieces that a pipe takes as a whole.

--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -238,7 +238,8 @@
 		const fairAhead = (ownAhead * this.totalShare(ticket)) / ticket.share;
 		const excess = Math.max(0, this.running.size - this.limits.slots);
 		const places = Math.min(ahead, fairAhead) + excess;
-		const serviceTime = this.currentServiceTime();
+		const current = this.currentServiceTime();
+		const serviceTime = this.serviceTime.isKnown ? current : Math.max(current, ticket.work);
 		const hold = ticket.holdTime?.() ?? 0;
 		return hold + (places / Math.max(1, this.limits.slots)) * serviceTime + serviceTime;
 	}
--- a/src/backend/backend-speed.ts
+++ b/src/backend/backend-speed.ts
@@ -7,8 +7,10 @@
 /** Bounds of what is believed; a reading outside is cut. */
 const minSlowdown = 0.1;
 const maxSlowdown = 50;
-/** Slowdown from which on a backend server counts as being in a slow spell. */
+/** How much slower than at its best of late a backend server is in a slow spell. */
 const slowSpell = 2;
+/** Spells are shorter than this, so that the best reading within it lies outside of them. */
+const baselineWindow: Millis = 1200;
 /** Length of a slow spell before one was seen. Source: the users' description of their hosts. */
 const defaultSpell: Millis = 500;
 const spellWeight = 0.1;
@@ -17,6 +19,8 @@
 /** A spell that seems longer was not watched all along. */
 const longestSpell: Millis = 1500;
 
+type Reading = {readonly slowdown: number; readonly at: Millis};
+
 /** How fast a backend server works at this moment, from readings that grow old within half a second. */
 export class BackendSpeed {
 	private last = 1;
@@ -24,10 +28,19 @@
 	private readAt: Millis | undefined;
 	private slowSince: Millis | undefined;
 	private spellLength = defaultSpell;
+	private recent: Reading[] = [];
 
 	/** Whether the last reading was in a slow spell. */
 	get isSlow(): boolean {
-		return this.last >= slowSpell;
+		return this.last >= slowSpell * this.baseline;
+	}
+
+	/**
+	 * The slowdown outside of slow spells: above 1 on a backend server that is cold, or slow for
+	 * reasons that last.
+	 */
+	get baseline(): number {
+		return Math.max(1, this.recent[0]?.slowdown ?? 1);
 	}
 
 	/** The last reading. */
@@ -42,6 +55,7 @@
 	read(slowdown: number, now: Millis): void {
 		this.last = Math.min(maxSlowdown, Math.max(minSlowdown, slowdown));
 		this.mean += (this.last - this.mean) * meanWeight;
+		this.noteRecent({slowdown: this.last, at: now});
 		const isWatched = this.readAt !== undefined && now - this.readAt <= watchedGap;
 		this.readAt = now;
 		if (!isWatched) {
@@ -76,4 +90,11 @@
 		const trust = Math.exp(-this.age(now) / speedMemory);
 		return this.mean + (this.last - this.mean) * trust;
 	}
+
+	// Holds the readings that are or may become the least of the window, in order of time.
+	private noteRecent(reading: Reading): void {
+		const isKept = ({slowdown, at}: Reading) =>
+			slowdown < reading.slowdown && reading.at - at <= baselineWindow;
+		this.recent = [...this.recent.filter((other) => isKept(other)), reading];
+	}
 }
--- a/src/backend/service-time.ts
+++ b/src/backend/service-time.ts
@@ -15,6 +15,11 @@
 		return this.mean;
 	}
 
+	/** Whether a call has ended since the start. */
+	get isKnown(): boolean {
+		return this.samples > 0;
+	}
+
 	/** Share of recent calls that failed, from 0 to 1. */
 	get failureShare(): number {
 		return this.failures;
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -171,7 +171,7 @@
 
 	/** @returns the load of the backend server now. */
 	report(): LoadReport {
-		const slowdown = this.speed.slowdown(this.parts.clock.now()) * this.warmUpSlowdown;
+		const slowdown = Math.max(this.speed.slowdown(this.parts.clock.now()), this.warmUpSlowdown);
 		return {...this.admission.report(), slowdown};
 	}
 
@@ -258,7 +258,7 @@
 		const ticket: Ticket = {
 			priority: attempt.head.origin.priority,
 			objective: attempt.objective,
-			work: this.profiles.of(attempt.head.origin.route, attempt.objective.timeLeft(askedAt)).work,
+			work: this.expectedWork(attempt),
 			customer: attempt.head.customer,
 			share: attempt.share,
 			deadline: attempt.deadline,
@@ -309,15 +309,20 @@
 			return 0;
 		}
 
-		const {route} = attempt.head.origin;
-		const now = this.parts.clock.now();
-		const {work} = this.profiles.of(route, attempt.objective.timeLeft(now));
-		const timeLeft = attempt.deadline.timeLeft(now);
-		const {lastSlowdown: slowdown} = this.speed;
+		const work = this.expectedWork(attempt);
+		const timeLeft = attempt.deadline.timeLeft(this.parts.clock.now());
+		const slowdown = this.speed.lastSlowdown / this.speed.baseline;
 		const spellLeft = this.speed.spellLeft();
 		return isWorthHolding({work, slowdown, spellLeft, timeLeft}) ? spellLeft : 0;
 	}
 
+	// Outside of slow spells; a cold backend server takes longer all the time.
+	private expectedWork({head, objective}: Attempt): Millis {
+		const timeLeft = objective.timeLeft(this.parts.clock.now());
+		const {work} = this.profiles.of(head.origin.route, timeLeft);
+		return Math.max(1, work) * Math.max(this.speed.baseline, this.warmUpSlowdown);
+	}
+
 	private refusalFor(attempt: Attempt): RefusalReason | undefined {
 		if (this.isDraining) {
 			return RefusalReason.Draining;
--- a/src/telemetry/line-writer.ts
+++ b/src/telemetry/line-writer.ts
@@ -32,6 +32,8 @@
 /** Lines are collected for so long, as each write costs several calls of the system, in ms. */
 const collectTime = 250;
 const retryTime = 10;
+/** A pipe takes so many bytes without parting them. Source: POSIX, PIPE_BUF. */
+const pipeBytes = 4096;
 
 /**
  * Writes log lines without ever blocking the loop or growing without bound: what a slow reader does
@@ -107,13 +109,24 @@
 		}
 	}
 
+	// At least one line, and no more than a pipe takes as a whole.
+	private takeLines(): Uint8Array[] {
+		let count = 0;
+		let size = 0;
+		do {
+			size += this.pending[count]!.length;
+			count += 1;
+		} while (count < this.pending.length && size + this.pending[count]!.length <= pipeBytes);
+
+		return this.pending.splice(0, count);
+	}
+
 	private flush(): void {
 		if (this.isWriting || this.pending.length === 0) {
 			return;
 		}
 
-		const bytes = concatBytes(this.pending);
-		this.pending = [];
+		const bytes = concatBytes(this.takeLines());
 		this.isWriting = true;
 		this.sink.write(bytes, (err) => {
 			this.isWriting = false;
