End a call at its deadline although its answer has begun, as a body may never end

Cause: the deadline and the cancellation of a call were let go when the head of its answer was there. Ruled out: heads, header fields, interim answers and chunk extensions without end: the first three end within 0.1 to 0.6 s by the limits of the parser, the others at the deadline, before this change as well. Change: an answer that streams stays bound to the deadline and the cancellation of its call; the caller sees the connection close, so that no part looks whole. Test: endless-bytes.test.ts, 16 cases on processes.

--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -52,6 +52,7 @@
 const ports = {callers: 7600, readiness: 7601, announcements: 7602, link: 7603, operators: 7604};
 const storePort = 7690;
 const waitLimit = 20_000;
+const kilobytesPerMegabyte = 1024;
 let nextId = 0;
 
 /** @returns a port that is free now. */
@@ -82,6 +83,8 @@
 }
 
 export class Mesh {
+	/** TCP port on which each node takes callers. */
+	readonly callerPort = ports.callers;
 	readonly nodes: MeshNode[] = [];
 	private readonly folder = mkdtempSync(join(tmpdir(), 'mesh-'));
 	private readonly group = new ProcessGroup(this.folder);
@@ -244,6 +247,13 @@
 		});
 	}
 
+	/** @returns resident memory of a node in MB. */
+	residentMb(node: MeshNode): number {
+		const {pid} = this.group.get(node.name).child;
+		const text = readFileSync(`/proc/${String(pid)}/status`, 'utf8');
+		return Number(/VmRSS:\s+(\d+)/v.exec(text)?.[1]) / kilobytesPerMegabyte;
+	}
+
 	/** @returns everything that a node has written. */
 	output(node: MeshNode): string {
 		return readFileSync(join(this.folder, `${node.name}.log`), 'utf8');
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -143,8 +143,9 @@
 			}
 		}
 
-		undoDeadline();
-		return this.endOf(call, this.truth(last, progress), progress);
+		const result = this.truth(last, progress);
+		endWithAnswer(result, undoDeadline);
+		return this.endOf(call, result, progress);
 	}
 
 	/**
@@ -329,7 +330,7 @@
 		const startedAt = clock.now();
 		const run = async (): Promise<AttemptResult> => {
 			const result = await this.parts.runnerTo(executor.id).run(attempt);
-			undo();
+			endWithAnswer(result, undo);
 			this.noteEnd(query, executor, result, startedAt);
 			return result;
 		};
@@ -440,6 +441,16 @@
 	}
 }
 
+// An answer whose body still streams stays bound to its call, as a body may never end.
+function endWithAnswer(result: AttemptResult, undo: Undo): void {
+	const stream = result.end === AttemptEnd.Answered ? result.body.stream : undefined;
+	if (stream) {
+		stream.once('close', undo);
+	} else {
+		undo();
+	}
+}
+
 // A failure that is held as a whole can still be replaced by the answer of another backend server.
 function isServerFailure(result: AttemptResult): result is AnsweredAttempt {
 	return (
--- /dev/null
+++ b/tests/endless-bytes.test.ts
@@ -0,0 +1,148 @@
+import {request, type ServerResponse} from 'node:http';
+import {afterAll, afterEach, beforeAll, describe, expect, it} from 'vitest';
+import {eventually, Mesh, type MeshNode, type MeshRoute} from '../scaffold/mesh/mesh.js';
+
+const timeout = 1000;
+/** Bound of the users' pages from the time-out of a route to the end of the call. */
+const lateBound = 500;
+/** What a call of another service may take beside it: its work of 5 ms, and what a busy machine adds. */
+const neighborBound = 500;
+/** Memory that a body in transit may take in a node: the windows of a link and the sockets' buffers. */
+const memoryBoundMb = 64;
+
+const routes: MeshRoute[] = [
+	{host: 'a.example', prefix: '/safe/', kind: 'safe', service: 'alpha', timeout_ms: timeout},
+	{host: 'a.example', prefix: '/unsafe/', kind: 'unsafe', service: 'alpha', timeout_ms: timeout},
+	{host: 'a.example', prefix: '/other/', kind: 'safe', service: 'beta', timeout_ms: timeout},
+];
+
+/** The id of the request takes the place of the mark. */
+const idMark = 'ID';
+const answerHead = `HTTP/1.1 200 OK\r\nX-Server-Signature: signed\r\nX-Attempt-Id: ${idMark}\r\n`;
+const line = 'x'.repeat(4096);
+const chunk = `1000\r\n${line}\r\n`;
+const pause = 5;
+
+/** What the backend server writes: a beginning, and then a piece again and again until it is closed. */
+const kinds = [
+	{name: 'bytes that are no answer', head: '', piece: line},
+	{name: 'a header field without end', head: `${answerHead}X-Long: `, piece: line},
+	{name: 'header fields without end', head: answerHead, piece: 'X-One: more\r\n'.repeat(100)},
+	{
+		name: 'interim answers without end',
+		head: '',
+		piece: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(50),
+	},
+	{
+		name: 'a chunk extension without end',
+		head: `${answerHead}Transfer-Encoding: chunked\r\n\r\n5;x=`,
+		piece: line,
+	},
+	{
+		name: 'chunks without end',
+		head: `${answerHead}Transfer-Encoding: chunked\r\n\r\n`,
+		piece: chunk,
+	},
+	{name: 'a body without a length', head: `${answerHead}Connection: close\r\n\r\n`, piece: line},
+	{
+		name: 'a body longer than its length',
+		head: `${answerHead}Content-Length: 4096\r\n\r\n`,
+		piece: line,
+	},
+];
+
+function writeEndlessly(res: ServerResponse, head: string, piece: string, isSlow: boolean): void {
+	const {socket} = res;
+	const pump = () => {
+		if (!socket?.writable) {
+			return;
+		}
+
+		if (isSlow) {
+			socket.write(piece);
+			setTimeout(pump, pause);
+		} else if (socket.write(piece)) {
+			setImmediate(pump);
+		} else {
+			socket.once('drain', pump);
+		}
+	};
+
+	socket?.write(head);
+	pump();
+}
+
+/** @returns when the caller's connection or its answer has ended, in ms from the start. */
+async function call(node: MeshNode, port: number, path: string, id: string): Promise<number> {
+	const startedAt = performance.now();
+	return new Promise((resolve) => {
+		const end = () => {
+			resolve(performance.now() - startedAt);
+		};
+
+		const headers = {host: 'a.example', 'x-attempt-id': id, 'x-request-deadline': '5000'};
+		const req = request({host: node.address, port, path, headers, agent: false}, (res) => {
+			res.resume();
+			res.once('close', end);
+		});
+		req.once('error', end);
+		req.end();
+	});
+}
+
+describe('a backend server that writes without end', () => {
+	const mesh = new Mesh(6);
+	let caller: MeshNode;
+	let alpha: MeshNode;
+
+	beforeAll(async () => {
+		await mesh.startStore();
+		alpha = await mesh.addNode({zone: 'a', region: 'one', service: 'alpha'});
+		caller = await mesh.addNode({zone: 'a', region: 'one', service: 'beta'});
+		await mesh.configure(routes);
+		await mesh.settle();
+		await eventually(async () => (await mesh.statusFor(caller, {path: '/safe/warm'})) === 200);
+		await eventually(async () => (await mesh.statusFor(caller, {path: '/other/warm'})) === 200);
+	});
+
+	afterEach(() => {
+		alpha.backend.behavior = () => false;
+	});
+
+	afterAll(async () => {
+		await mesh.stop();
+	});
+
+	const cases = kinds.flatMap((kind) => [
+		{...kind, pace: 'fast', isSlow: false},
+		{...kind, pace: 'slowly', isSlow: true},
+	]);
+
+	it.each(cases)('($name, $pace) costs its own call and nothing else', async (one) => {
+		alpha.backend.behavior = (seen, res) => {
+			const isEndless = seen.path.endsWith('/endless');
+			if (isEndless) {
+				writeEndlessly(res, one.head.replace(idMark, seen.id), one.piece, one.isSlow);
+			}
+
+			return isEndless;
+		};
+
+		const before = [alpha, caller].map((node) => mesh.residentMb(node));
+		const id = `${one.name.replaceAll(' ', '-')}-${one.pace}`;
+		const ended = call(caller, mesh.callerPort, '/unsafe/endless', id);
+		const startedAt = performance.now();
+		const neighbor = await mesh.send(caller, {path: '/other/1'});
+		expect(neighbor.status).toBe(200);
+		expect(performance.now() - startedAt).toBeLessThan(neighborBound);
+		expect(await ended).toBeLessThan(timeout + lateBound);
+		const runs = alpha.backend.seen.filter((seen) => seen.id === id);
+		expect(runs).toHaveLength(1);
+		await eventually(() => runs[0]!.isAbandoned);
+		for (const [i, node] of [alpha, caller].entries()) {
+			expect(mesh.residentMb(node) - before[i]!).toBeLessThan(memoryBoundMb);
+		}
+
+		expect(await mesh.statusFor(caller, {path: '/safe/after'})).toBe(200);
+	});
+});
