Place calls among a few executors of a large service, drawn anew for each call

Ruled out: turning through rings in steps, as a step that divides the ring's size leaves members out (a member that joined got none of 100 calls). A second attempt goes to the member that was found worth its cost, and is looked for only once the first one is overdue or in a spell.

--- a/src/ingress/__tests__/unit/call-runner.test.ts
+++ b/src/ingress/__tests__/unit/call-runner.test.ts
@@ -227,7 +227,8 @@
 			choose: ({excluded}) => executors.find(({id}) => !excluded.has(id)),
 			reasonForNone: () => RefusalReason.NoBackend,
 			hedgeDelay: () => 100,
-			isHedgeWorthwhile: (_query, _executor, elapsed) => elapsed > 300,
+			secondExecutor: ({excluded}, _executor, elapsed) =>
+				elapsed > 300 ? executors.find(({id}) => !excluded.has(id)) : undefined,
 			roomIn: () => undefined,
 			patience: () => 0,
 			noteSent: () => undefined,
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -293,12 +293,8 @@
 		}
 
 		const query = this.query(call, progress);
-		const other = placement.choose(query);
-		if (!other || !placement.isHedgeWorthwhile(query, executor, clock.now() - sentAt)) {
-			return;
-		}
-
-		if (!this.budgets.trySpendHedge(call.policy.service)) {
+		const other = placement.secondExecutor(query, executor, clock.now() - sentAt);
+		if (!other || !this.budgets.trySpendHedge(call.policy.service)) {
 			return;
 		}
 
--- a/src/ingress/nearest-first-placement.ts
+++ b/src/ingress/nearest-first-placement.ts
@@ -63,8 +63,8 @@
 		return this.hedgeTimer.delayFor(query.service);
 	}
 
-	isHedgeWorthwhile(): boolean {
-		return true;
+	secondExecutor(query: PlacementQuery): Member | undefined {
+		return this.choose(query);
 	}
 
 	patience(): Millis {
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -34,6 +34,12 @@
 	private readonly listeners = new Set<MemberListener>();
 	private readonly regionSizes = new Map<string, number>();
 	private readonly zoneSizes = new Map<string, number>();
+	private changes = 0;
+
+	/** Grows with each change of a member. */
+	get revision(): number {
+		return this.changes;
+	}
 
 	get size(): number {
 		return this.members.size;
@@ -167,6 +173,7 @@
 	}
 
 	private replace(known: Member | undefined, account: Member | undefined): void {
+		this.changes += 1;
 		if (known) {
 			this.toggleChecksum(known);
 			this.countPlaces(known, -1);
--- a/src/routing/__tests__/unit/objective-placement.test.ts
+++ b/src/routing/__tests__/unit/objective-placement.test.ts
@@ -34,6 +34,7 @@
 	const zone = add('zone', 'r1', 'b');
 	const region = add('region', 'r2', 'c');
 	const placement = new ObjectivePlacement({
+		random: createRandom(1),
 		clock,
 		directory,
 		self: () => self,
@@ -96,20 +97,22 @@
 
 	it('gives no second attempt to a call that is not overdue', () => {
 		const {placement, near} = createWorld();
-		expect(placement.isHedgeWorthwhile(createQuery(), near, 50)).toBe(false);
-		expect(placement.isHedgeWorthwhile(createQuery({objectiveLeft: 200}), near, 200)).toBe(true);
+		const excluded = new Set(['near']);
+		expect(placement.secondExecutor(createQuery({excluded}), near, 50)).toBeUndefined();
+		const late = createQuery({objectiveLeft: 200, excluded});
+		expect(placement.secondExecutor(late, near, 200)?.id).toBe('zone');
 	});
 
 	it('gives a second attempt at once to a call that was sent into a slow spell', () => {
-		const {placement, clock, near} = createWorld();
+		const {placement, clock, near, zone} = createWorld();
 		clock.advance(30);
 		placement.noteLoad('near', {...usual, slowdown: 7});
 		placement.noteLoad('zone', usual);
 		clock.advance(10);
 		const query = createQuery({objectiveLeft: 360});
-		expect(placement.isHedgeWorthwhile(query, near, 40)).toBe(true);
+		expect(placement.secondExecutor(query, near, 40)).toBe(zone);
 		// The spell was known before this one was sent.
-		expect(placement.isHedgeWorthwhile(query, near, 5)).toBe(false);
+		expect(placement.secondExecutor(query, near, 5)).toBeUndefined();
 	});
 
 	it('waits for an executor only when there is none', () => {
--- a/src/routing/__tests__/unit/second-attempts.test.ts
+++ b/src/routing/__tests__/unit/second-attempts.test.ts
@@ -49,6 +49,7 @@
 		}
 
 		this.placement = new ObjectivePlacement({
+			random: createRandom(1),
 			clock: this.clock,
 			directory: this.directory,
 			self: () => createSelf('10.0.1.1:7001', 1, place),
@@ -139,7 +140,7 @@
 			}
 
 			const elapsed = this.clock.now() - first.sentAt;
-			if (this.placement.isHedgeWorthwhile(this.query(call), first.executor.member, elapsed)) {
+			if (this.placement.secondExecutor(this.query(call), first.executor.member, elapsed)) {
 				this.budget -= 1;
 				call.isHedged = true;
 				this.run(call);
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -7,7 +7,9 @@
 	type Directory,
 	type Member,
 } from '../membership/index.js';
+import type {Random} from '../random/index.js';
 import {CallProfiles, isUsualSpeed} from './call-profiles.js';
+import {ExecutorDraw} from './executor-draw.js';
 import {expectedLoss, expectedTime} from './expected-time.js';
 import {ExecutorViews, type ExecutorView} from './executor-view.js';
 import type {AttemptNews, Placement, PlacementQuery} from './placement.js';
@@ -25,6 +27,7 @@
 	readonly clock: Pick<Clock, 'now'>;
 	readonly directory: Directory;
 	readonly self: () => Member;
+	readonly random: Random;
 	readonly costs: WayCosts;
 	/** @returns the rank of the least urgent requests. */
 	readonly lowestPriority: () => number;
@@ -80,9 +83,12 @@
 export class ObjectivePlacement implements Placement {
 	private readonly views = new ExecutorViews();
 	private readonly profiles = new CallProfiles();
+	private readonly executors: ExecutorDraw;
 	private usualSlowdown = 1;
 
-	constructor(private readonly parts: ObjectivePlacementParts) {}
+	constructor(private readonly parts: ObjectivePlacementParts) {
+		this.executors = new ExecutorDraw(parts.directory, parts.self, parts.random);
+	}
 
 	choose(query: PlacementQuery): Member | undefined {
 		return this.best(query)?.member;
@@ -105,23 +111,19 @@
 
 	// An attempt that takes longer than expected has most likely started in a slow spell; so has one
 	// whose executor tells of a spell just after the start.
-	isHedgeWorthwhile(query: PlacementQuery, executor: Member, elapsed: Millis): boolean {
-		const other = this.best(query);
-		if (!other) {
-			return false;
-		}
-
+	secondExecutor(query: PlacementQuery, executor: Member, elapsed: Millis): Member | undefined {
 		const {work} = this.profiles.of(query.kind, query.objective);
 		const isOverdue = elapsed > work * hedgePatience;
 		const slowdown = this.slowdownAtStart(executor, elapsed) ?? (isOverdue ? slowSpell : undefined);
-		if (slowdown === undefined) {
-			return false;
+		const other = slowdown === undefined ? undefined : this.best(query);
+		if (slowdown === undefined || !other) {
+			return undefined;
 		}
 
 		const {objectiveLeft, timeLeft} = query;
 		const expected = Math.max(work, work * slowdown - elapsed);
 		const loss = expectedLoss({expected, objectiveLeft, timeLeft});
-		return loss - other.loss > hedgeGain;
+		return loss - other.loss > hedgeGain ? other.member : undefined;
 	}
 
 	// Executors are away for about a second when their nodes restart, and callers have few retries.
@@ -132,11 +134,9 @@
 
 	roomIn(query: PlacementQuery): Millis | undefined {
 		let least: Millis | undefined;
-		for (const member of this.parts.directory.ofService(query.service)) {
-			if (isRoutable(member)) {
-				const {time} = this.judge(query, member);
-				least = Math.min(least ?? time, time);
-			}
+		for (const member of this.executors.draw(query.service, query.excluded)) {
+			const {time} = this.judge(query, member);
+			least = Math.min(least ?? time, time);
 		}
 
 		return Math.min(mostRoomDelay, Math.max(leastRoomDelay, least ?? absenceDelay));
@@ -165,6 +165,7 @@
 		}
 
 		this.views.noteLoad(id, load, this.parts.clock.now());
+		this.executors.noteFresh(id);
 		this.usualSlowdown += (load.slowdown - this.usualSlowdown) * 0.01;
 	}
 
@@ -193,11 +194,7 @@
 
 	private best(query: PlacementQuery): Judged | undefined {
 		let best: Judged | undefined;
-		for (const member of this.parts.directory.ofService(query.service)) {
-			if (!isRoutable(member) || query.excluded.has(member.id)) {
-				continue;
-			}
-
+		for (const member of this.executors.draw(query.service, query.excluded)) {
 			const judged = this.judge(query, member);
 			if (!best || judged.loss < best.loss) {
 				best = judged;
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -54,9 +54,10 @@
 	 * @param query - a call whose attempt is out.
 	 * @param executor - where it is.
 	 * @param elapsed - how long it has been there, in ms.
-	 * @returns whether a second attempt is expected to answer in time where the first is not.
+	 * @returns where a second attempt is expected to answer in time while the first is not; undefined
+	 * where none is worth its cost.
 	 */
-	isHedgeWorthwhile(query: PlacementQuery, executor: Member, elapsed: Millis): boolean;
+	secondExecutor(query: PlacementQuery, executor: Member, elapsed: Millis): Member | undefined;
 	/**
 	 * @param query - a call that cannot be served now.
 	 * @returns when there will be room, in ms from now; undefined when nothing is known of that.
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -264,12 +264,13 @@
 		runner.reconsider(id);
 	}
 
-	private createPlacement({clock, gossip}: NodeCore): ObjectivePlacement {
+	private createPlacement({clock, gossip, random}: NodeCore): ObjectivePlacement {
 		const {otherZoneCost: otherZone, otherRegionCost: otherRegion} = this.settings.ways;
 		this.placement = new ObjectivePlacement({
 			clock,
 			directory: gossip.directory,
 			self: () => gossip.account,
+			random,
 			costs: {otherZone, otherRegion},
 			lowestPriority: () => this.lowestPriority,
 		});
