--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -39,11 +39,14 @@
 	[Distance.SameRegion]: 2,
 	[Distance.OtherRegion]: 1,
 };
-/** How many it greets, so that calls can go to those that live before their accounts are here. */
+/**
+ * How many it greets, so that calls can go to those that live before their accounts are here. All nodes
+ * greet at once when the power is back, and each greeting and its answer take processor time.
+ */
 const presumed: Readonly<Record<Distance, number>> = {
-	[Distance.SameZone]: 64,
-	[Distance.SameRegion]: 32,
-	[Distance.OtherRegion]: 16,
+	[Distance.SameZone]: 16,
+	[Distance.SameRegion]: 8,
+	[Distance.OtherRegion]: 4,
 };
 /** How often a node makes sure that its row is there, and looks for rows of nodes that are gone. */
 const auditPeriod: Millis = 5 * minute;
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -71,14 +71,14 @@
 	isCrowded: boolean;
 };
 
-const sweepPeriod: Millis = 10;
+const sweepPeriod: Millis = 20;
 const expiryPeriod: Millis = 1000;
 /** Age from which on a reading of the speed is too old for a call that cannot be moved once it runs. */
 const unsafeFreshness: Millis = 40;
 /** The same for calls that can get a second attempt elsewhere. */
 const safeFreshness: Millis = 150;
 /** The same while calls are held for the end of a slow spell. */
-const heldFreshness: Millis = 20;
+const heldFreshness: Millis = 30;
 /** Factor between two speeds from which on a change is worth a message to the callers' nodes. */
 const notableChange = 1.5;
 /** Share of busy slots from which on down a backend server that was full counts as free. */
--- a/src/node/load-news.ts
+++ b/src/node/load-news.ts
@@ -20,9 +20,9 @@
  * hears of each change; a larger deployment relies on answers, which tell the load as well. Bytes to
  * other zones and regions are priced.
  */
-const sameZoneRate = 40;
-const otherZoneRate = 30;
-const otherRegionRate = 6;
+const sameZoneRate = 16;
+const otherZoneRate = 10;
+const otherRegionRate = 3;
 /** Seconds of a rate that can be saved up. */
 const rateDepth = 1;
 /** Slowdown from which on a backend server counts as being in a slow spell. */
--- a/src/routing/__tests__/unit/executor-draw.test.ts
+++ b/src/routing/__tests__/unit/executor-draw.test.ts
@@ -25,7 +25,7 @@
 
 describe('ExecutorDraw', () => {
 	it('are all members of a small service', () => {
-		const {directory, self, members} = createWorld(16);
+		const {directory, self, members} = createWorld(40);
 		const drawn = new Set(new ExecutorDraw(directory, self, createRandom(1)).draw('s', none));
 		expect(drawn).toEqual(new Set(members));
 	});
--- a/src/routing/executor-draw.ts
+++ b/src/routing/executor-draw.ts
@@ -16,7 +16,7 @@
 /** Members that told their load last; what is known of them is fresh. */
 const mostFresh = 4;
 /** Up to so many members of a service are all looked at. */
-const smallService = 16;
+const smallService = 40;
 
 type Rings = {
 	readonly revision: number;
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -65,8 +65,9 @@
 const speedProbes: ProbeRate = {period: 100, speedAge: 200, idleAfter: second, budget: 150};
 /** Up to so many members of the zone, or of all, a node keeps a link to each, so that load news reach it. */
 const fullMeshMembers = 32;
-/** Over so long after a member was found are links to it opened that no call has opened. */
-const linkSpread: Millis = 2 * second;
+/** How long after a member was found a link to it is opened that no call has opened, and the spread. */
+const linkDelay: Millis = 2 * second;
+const linkSpread: Millis = 4 * second;
 /** Connections stay open longer than callers may use them idle. */
 const idleMargin: Millis = second;
 /** Part of the budget for further attempts that goes to second attempts beside slow ones. */
@@ -301,7 +302,7 @@
 		}
 
 		this.linking.add(id);
-		this.clock.after(linkSpread * this.core.random.next(), () => {
+		this.clock.after(linkDelay + linkSpread * this.core.random.next(), () => {
 			this.linking.delete(id);
 			this.linkTo(id);
 		});
