After a restart, confirm the first announcement before a backend server is used

Cause: a node that is started anew has lost the sequence of announcements. A late 'ready' of a backend server that had left, its leaving acknowledged by the process before, was taken for news, and work went there; and one of an earlier start at the address took the place of the server that the health path had told of. Ruled out: keeping the sequence in the store, as each announcement would be a write. Change: such an announcement counts once a later one of the same start follows or the health path tells the same; an announced draining counts at once.

--- a/src/node/__tests__/unit/backend-keeper.test.ts
+++ b/src/node/__tests__/unit/backend-keeper.test.ts
@@ -9,7 +9,7 @@
 import {AnnouncedState, type Announcement} from '../../announcement.js';
 import {BackendKeeper} from '../../backend-keeper.js';
 
-function createWorld() {
+function createWorld(isRestart = false) {
 	const clock = new ManualClock(1000);
 	const gossip = createTestGossip(clock);
 	const executor = new Executor({
@@ -33,6 +33,7 @@
 		gossip,
 		keeper: new RevisionKeeper(),
 		silenceLimit: 9000,
+		isRestart,
 	});
 	return {clock, gossip, executor, keeper};
 }
@@ -61,6 +62,40 @@
 const draining = {state: AnnouncedState.Draining};
 
 describe('BackendKeeper', () => {
+	it('takes no late announcement for a backend server that left before the node was restarted', () => {
+		const {keeper, executor} = createWorld(true);
+		keeper.announce(announce(5, 2));
+		expect(keeper.state).toBe(BackendState.Absent);
+		expect(executor.service).toBeUndefined();
+		keeper.announce(announce(5, 1));
+		keeper.announce(announce(5, 2));
+		expect(keeper.state).toBe(BackendState.Absent);
+		keeper.announce(announce(5, 4, draining));
+		expect(keeper.state).toBe(BackendState.Draining);
+	});
+
+	it('takes the backend server back after a restart when a later announcement or its health confirms it', () => {
+		const told = createWorld(true);
+		told.keeper.announce(announce(5, 2));
+		told.keeper.announce(announce(5, 3));
+		expect(told.executor.service).toBe('s');
+		const asked = createWorld(true);
+		asked.keeper.announce(announce(5, 2));
+		asked.keeper.announce(announce(5, 0, {startedAt: undefined, sequence: undefined}));
+		expect(asked.executor.service).toBe('s');
+		asked.keeper.announce(announce(5, 3));
+		expect(asked.keeper.state).not.toBe(BackendState.Absent);
+	});
+
+	it('keeps the backend server that its health path told of against a late one of another start', () => {
+		const {keeper} = createWorld(true);
+		keeper.announce(announce(9, 0, {startedAt: undefined, sequence: undefined}));
+		keeper.announce(announce(5, 7));
+		expect(keeper.current?.instance).toBe('i-9');
+		keeper.announce(announce(9, 1));
+		expect(keeper.current?.startedAt).toBe(9);
+	});
+
 	it('stays draining when an older announcement comes late', () => {
 		const {keeper, gossip} = createWorld();
 		keeper.announce(announce(5, 1));
--- a/src/node/backend-keeper.ts
+++ b/src/node/backend-keeper.ts
@@ -16,6 +16,8 @@
 	readonly keeper: RevisionKeeper;
 	/** A backend server that has not announced itself for so long is taken for gone, in ms. */
 	readonly silenceLimit?: Millis;
+	/** Whether this process took the place of one that may have known more of the backend server. */
+	readonly isRestart: boolean;
 }
 
 const watchPeriod: Millis = 400;
@@ -38,6 +40,9 @@
 	private announcedAt: Millis = 0;
 	private startedAt: Millis = 0;
 	private isNodeDraining = false;
+	/** Says that it serves, but may have said so long ago. */
+	private unconfirmed: Announcement | undefined;
+	private hasAttached = false;
 
 	constructor(private readonly parts: BackendKeeperParts) {
 		parts.clock.repeat(watchPeriod, () => {
@@ -80,6 +85,17 @@
 			return;
 		}
 
+		if (!this.isConfirmed(announcement)) {
+			const {instance, sequence} = announcement;
+			this.parts.logger.log(logEvents.announcementUnconfirmed, {instance, sequence});
+			// The latest of a start stays, so that an older one cannot be followed by it once more.
+			if (!isSameStart(this.unconfirmed, announcement)) {
+				this.unconfirmed = announcement;
+			}
+
+			return;
+		}
+
 		const previous = this.announcement;
 		this.announcement = announcement;
 		this.announcedAt = this.parts.clock.now();
@@ -149,12 +165,31 @@
 		return isOld ? 'out of order' : undefined;
 	}
 
+	// What a restarted node hears first may be old: the backend server may have left since, and the
+	// process that acknowledged it is gone. It counts once its health path tells the same or a later
+	// announcement follows.
+	private isConfirmed(announcement: Announcement): boolean {
+		const {instance, startedAt, sequence} = announcement;
+		const isTold = startedAt !== undefined && announcement.state === AnnouncedState.Serving;
+		const isFirst = this.parts.isRestart && !this.hasAttached;
+		const found = this.announcement;
+		const isOtherThanFound =
+			found !== undefined && found.startedAt === undefined && found.instance !== instance;
+		if (!isTold || !(isFirst || isOtherThanFound)) {
+			return true;
+		}
+
+		const isLater = (sequence ?? 0) > (this.unconfirmed?.sequence ?? 0);
+		return isSameStart(this.unconfirmed, announcement) && isLater;
+	}
+
 	private attach(announcement: Announcement, isAbsent: boolean): void {
 		const {address, port, service, instance} = announcement;
 		const policy = this.parts.keeper.inForce?.service(service);
 		const connections = announcement.connections ?? policy?.connections ?? defaultConnections;
 		const {executor, logger, clock} = this.parts;
 		this.startedAt = clock.now();
+		this.hasAttached = true;
 		if (!isAbsent) {
 			executor.detach();
 		}
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -61,6 +61,12 @@
 		warn,
 		'An announcement was not used; the backend server stays as it was.',
 	),
+	announcementUnconfirmed: event(
+		210,
+		'announcement-unconfirmed',
+		info,
+		'A restarted node waits for a later announcement or the health path before it uses this one.',
+	),
 	callEnded: event(800, 'call-ended', info, 'A call has ended at the node that took it.'),
 	callRetried: event(801, 'call-retried', info, 'A call gets a further attempt.'),
 	callHedged: event(802, 'call-hedged', info, 'A second attempt was sent beside one that is slow.'),
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -31,6 +31,8 @@
 export interface CoreHooks {
 	readonly backendProtocol: BackendProtocol;
 	readonly silenceLimit: Millis | undefined;
+	/** Whether an earlier process may have acknowledged what the backend server said. */
+	readonly isRestart: boolean;
 	/** A peer tells the load of its backend server. */
 	readonly peerLoad: HubHost['peerLoad'];
 	readonly takeHandover: HubHost['takeHandover'];
@@ -105,6 +107,7 @@
 			executor: this.executor,
 			gossip: this.gossip,
 			silenceLimit: hooks.silenceLimit,
+			isRestart: hooks.isRestart,
 		});
 		this.hub = this.createHub();
 		this.placement = hooks.createPlacement(this);
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -238,6 +238,7 @@
 		return {
 			backendProtocol: this.surroundings.backendProtocol,
 			silenceLimit: settings.backend.announcePeriod * missedAnnouncements,
+			isRestart: !settings.isFirstStart,
 			createPlacement: (core) => this.createPlacement(core),
 			budgetBursts: () => this.budgetBursts(),
 			probeSpeed: async () => this.probe.probeNow(),
--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -158,6 +158,7 @@
 		return {
 			backendProtocol: new TurmericBackendProtocol(),
 			silenceLimit: undefined,
+			isRestart: false,
 			createPlacement({clock, random, gossip, keeper}) {
 				const routing = new ExpectedWaitPolicy({clock, random, self: () => gossip.account});
 				return new NearestFirstPlacement({clock, gossip, routing, keeper});
