--- a/src/membership/probe-targets.ts
+++ b/src/membership/probe-targets.ts
@@ -32,8 +32,8 @@
 
 /**
  * Picks whom to probe. The members of a zone watch each other in a ring, so that one that dies is
- * found within a bounded time; random probes carry news, and look across zones. Random targets are walked in rings as well, so that every member is probed
- * once a round, and most of these probes stay in the zone.
+ * found within a bounded time. Random probes carry news and look across zones; their targets are drawn
+ * so that every member is probed once a round, and most of them stay in the zone.
  */
 export class ProbeTargets {
 	private readonly rings: string[][] = [[], [], []];
