--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -6,6 +6,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {ProcessGroup} from '../deployment/process-group.js';
+import {readUsage, type ProcessUsage} from '../deployment/process-usage.js';
 import {MeshBackend} from './mesh-backend.js';
 
 /** One node to start. */
@@ -52,7 +53,6 @@
 const ports = {callers: 7600, readiness: 7601, announcements: 7602, link: 7603, operators: 7604};
 const storePort = 7690;
 const waitLimit = 20_000;
-const kilobytesPerMegabyte = 1024;
 let nextId = 0;
 
 /** @returns a port that is free now. */
@@ -247,11 +247,9 @@
 		});
 	}
 
-	/** @returns resident memory of a node in MB. */
-	residentMb(node: MeshNode): number {
-		const {pid} = this.group.get(node.name).child;
-		const text = readFileSync(`/proc/${String(pid)}/status`, 'utf8');
-		return Number(/VmRSS:\s+(\d+)/v.exec(text)?.[1]) / kilobytesPerMegabyte;
+	/** @returns what the node's process has used since its start. */
+	usage(node: MeshNode): ProcessUsage {
+		return readUsage(this.group.get(node.name).child.pid!);
 	}
 
 	/** @returns everything that a node has written. */
--- a/tests/endless-bytes.test.ts
+++ b/tests/endless-bytes.test.ts
@@ -128,7 +128,7 @@
 			return isEndless;
 		};
 
-		const before = [alpha, caller].map((node) => mesh.residentMb(node));
+		const before = [alpha, caller].map((node) => mesh.usage(node).residentMb);
 		const id = `${one.name.replaceAll(' ', '-')}-${one.pace}`;
 		const ended = call(caller, mesh.callerPort, '/unsafe/endless', id);
 		const startedAt = performance.now();
@@ -140,7 +140,7 @@
 		expect(runs).toHaveLength(1);
 		await eventually(() => runs[0]!.isAbandoned);
 		for (const [i, node] of [alpha, caller].entries()) {
-			expect(mesh.residentMb(node) - before[i]!).toBeLessThan(memoryBoundMb);
+			expect(mesh.usage(node).residentMb - before[i]!).toBeLessThan(memoryBoundMb);
 		}
 
 		expect(await mesh.statusFor(caller, {path: '/safe/after'})).toBe(200);
