--- a/bench/control.ts
+++ b/bench/control.ts
@@ -7,6 +7,7 @@
 import process from 'node:process';
 import {percentilesOf} from '../src/replay/index.js';
 import {Deployment, fetchText, ports} from '../scaffold/deployment/deployment.js';
+import {readUsage} from '../scaffold/deployment/process-usage.js';
 import {small, type DeploymentPlan} from '../scaffold/deployment/place.js';
 
 const sizes = [10, 20, 40];
@@ -17,23 +18,12 @@
 const bytesLimit = 11_000;
 const memoryLimit = 128;
 const inForceLimit = 7000;
-const ticksPerSecond = 100;
-const kilobytesPerMegabyte = 1024;
+const millisPerSecond = 1000;
 
 function planOf(size: number): DeploymentPlan {
 	return {...small, services: [{...small.services[0]!, backends: size}]};
 }
 
-function cpuSeconds(pid: number): number {
-	const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]!.split(' ');
-	return (Number(fields[11]) + Number(fields[12])) / ticksPerSecond;
-}
-
-function residentMb(pid: number): number {
-	const match = /VmRSS:\s+(\d+)/v.exec(readFileSync(`/proc/${pid}/status`, 'utf8'));
-	return Number(match?.[1]) / kilobytesPerMegabyte;
-}
-
 async function controlBytes(deployment: Deployment): Promise<number> {
 	let sum = 0;
 	for (const pair of deployment.pairs) {
@@ -85,14 +75,17 @@
 		await deployment.open();
 		await sleep(settleSeconds * 1000);
 		const pids = deployment.pairs.map((pair) => deployment.group.get(pair.node).child.pid!);
-		const cpuBefore = pids.map((pid) => cpuSeconds(pid));
+		const before = pids.map((pid) => readUsage(pid));
 		const bytesBefore = await controlBytes(deployment);
 		const storeBefore = await deployment.storeCounts();
 		await sleep(seconds * 1000);
-		const cpu = pids.map((pid, i) => ((cpuSeconds(pid) - cpuBefore[i]!) / seconds) * 100);
+		const after = pids.map((pid) => readUsage(pid));
+		const cpu = after.map(
+			({processor}, i) => ((processor - before[i]!.processor) / millisPerSecond / seconds) * 100,
+		);
 		const bytes = ((await controlBytes(deployment)) - bytesBefore) / seconds;
 		const store = await deployment.storeCounts();
-		const memory = Math.max(...pids.map((pid) => residentMb(pid)));
+		const memory = Math.max(...pids.map((pid) => readUsage(pid).residentMb));
 		const times = percentilesOf(await measureChanges(deployment));
 		const meanCpu = cpu.reduce((sum, item) => sum + item, 0) / cpu.length;
 		const isBad =
--- a/bench/cost.ts
+++ b/bench/cost.ts
@@ -1,6 +1,6 @@
 /** What a deployed node costs: a start, a second at rest, and a call at both of its nodes. */
-import {readFileSync} from 'node:fs';
 import process from 'node:process';
+import {readDeployedCommand} from '../scaffold/deployment/deployed-command.js';
 import {Mesh, type MeshNode} from '../scaffold/mesh/mesh.js';
 import type {ProcessUsage} from '../scaffold/deployment/process-usage.js';
 
@@ -18,25 +18,20 @@
 /** Targets of the users' platform. A start is counted to the end of the meeting with the others. */
 const targets = {wakeUps: 6, callMillis: 0.4, startMillis: 40, residentMb: 45};
 
-function nodeOptions(): string[] {
-	const [, run] = /^run = "node (.+)"$/mv.exec(readFileSync('deploy/system.toml', 'utf8'))!;
-	return run!.split(' ').filter((word) => word.startsWith('-') && word !== '--settings');
-}
-
 async function sleep(span: number): Promise<void> {
 	await new Promise((resolve) => {
 		setTimeout(resolve, span);
 	});
 }
 
-type Spent = {processor: number; wakeUps: number};
+type Spent = Pick<ProcessUsage, 'processor' | 'wakeUps'>;
 
 function spentBetween(before: readonly ProcessUsage[], after: readonly ProcessUsage[]): Spent {
 	let processor = 0;
 	let wakeUps = 0;
-	for (const [i, {user, system, wakeUps: count}] of after.entries()) {
-		processor += user + system - before[i]!.user - before[i]!.system;
-		wakeUps += count - before[i]!.wakeUps;
+	for (const [i, usage] of after.entries()) {
+		processor += usage.processor - before[i]!.processor;
+		wakeUps += usage.wakeUps - before[i]!.wakeUps;
 	}
 
 	return {processor, wakeUps};
@@ -75,7 +70,7 @@
 	return isMet;
 }
 
-const mesh = new Mesh(subnet, [...nodeOptions(), 'target/node/bin/turmeric-platform-node.cjs']);
+const mesh = new Mesh(subnet, readDeployedCommand());
 try {
 	await mesh.startStore();
 	await mesh.configure([
@@ -99,7 +94,7 @@
 	const rest = spentBetween(restFrom, restTo);
 	const busy = spentBetween(restTo, callsTo);
 	const restShare = callSeconds / restSeconds;
-	const perStart = started.reduce((sum, {user, system}) => sum + user + system, 0) / nodes;
+	const perStart = started.reduce((sum, {processor}) => sum + processor, 0) / nodes;
 	const peak = Math.max(...callsTo.map(({residentMb}) => residentMb));
 	console.log(`${nodes} nodes, ${rate} calls/s each; ${calls} calls, ${failed} failed`);
 	console.log(
--- a/bench/latency.ts
+++ b/bench/latency.ts
@@ -2,11 +2,11 @@
  * Cost of the path, all variants side by side in one run: direct, through the node beside the
  * backend server, and through two nodes. Bounds come from the users' targets.
  */
-import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {percentilesOf} from '../src/replay/index.js';
 import {sendCall, type CallerAnswer} from '../scaffold/deployment/caller.js';
 import {Deployment, ports} from '../scaffold/deployment/deployment.js';
+import {readUsage} from '../scaffold/deployment/process-usage.js';
 import {small} from '../scaffold/deployment/place.js';
 
 const rate = 200;
@@ -16,8 +16,6 @@
 const memoryLimit = 128;
 const closedLoopCallers = 16;
 const closedLoopSeconds = 4;
-const megabyte = 1024 * 1024;
-const ticksPerSecond = 100;
 
 interface Variant {
 	readonly name: string;
@@ -31,16 +29,6 @@
 };
 const deployment = new Deployment(onePlace, 5);
 
-function cpuMs(pid: number): number {
-	const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]!.split(' ');
-	return ((Number(fields[11]) + Number(fields[12])) * 1000) / ticksPerSecond;
-}
-
-function residentMb(pid: number): number {
-	const match = /VmRSS:\s+(\d+)/v.exec(readFileSync(`/proc/${pid}/status`, 'utf8'));
-	return (Number(match?.[1]) * 1024) / megabyte;
-}
-
 /** Open loop: calls start at their times, however long the others take. */
 async function openLoop(variant: Variant, length: number): Promise<number[]> {
 	const durations: number[] = [];
@@ -109,9 +97,9 @@
 	);
 	for (const variant of variants) {
 		const nodes = [pid(a!.node), pid(b!.node)];
-		const before = nodes.reduce((sum, item) => sum + cpuMs(item), 0);
+		const before = nodes.reduce((sum, item) => sum + readUsage(item).processor, 0);
 		const durations = await openLoop(variant, seconds);
-		const spent = nodes.reduce((sum, item) => sum + cpuMs(item), 0) - before;
+		const spent = nodes.reduce((sum, item) => sum + readUsage(item).processor, 0) - before;
 		const result = percentilesOf(durations);
 		results.set(variant.name, result);
 		const throughput = await closedLoop(variant);
@@ -129,7 +117,7 @@
 
 	const added = results.get('two nodes')!.p99 - results.get('direct')!.p99;
 	const addedMedian = results.get('two nodes')!.p50 - results.get('direct')!.p50;
-	const memory = Math.max(residentMb(pid(a!.node)), residentMb(pid(b!.node)));
+	const memory = Math.max(readUsage(pid(a!.node)).residentMb, readUsage(pid(b!.node)).residentMb);
 	console.log(
 		`\nadded by two nodes: p50 ${addedMedian.toFixed(2)} ms, p99 ${added.toFixed(2)} ms (target ${addedLimit} ms)`,
 	);
--- a/scaffold/deployment/process-usage.ts
+++ b/scaffold/deployment/process-usage.ts
@@ -2,10 +2,8 @@
 
 /** What a process has used since its start. */
 export interface ProcessUsage {
-	/** Processor time of its own code, in ms. */
-	readonly user: number;
-	/** Processor time of the kernel for it, in ms. */
-	readonly system: number;
+	/** Processor time of its own code and of the kernel for it, in ms. */
+	readonly processor: number;
 	/** How often its main thread was woken up. */
 	readonly wakeUps: number;
 	/** Resident memory now, in MB. */
@@ -25,8 +23,7 @@
 	const figure = (name: string) =>
 		Number(new RegExp(String.raw`${name}:\s+(\d+)`, 'v').exec(status)?.[1]);
 	return {
-		user: Number(fields[11]) * millisPerTick,
-		system: Number(fields[12]) * millisPerTick,
+		processor: (Number(fields[11]) + Number(fields[12])) * millisPerTick,
 		wakeUps: figure(String.raw`\nvoluntary_ctxt_switches`),
 		residentMb: figure('VmRSS') / kilobytesPerMegabyte,
 	};
--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -57,8 +57,9 @@
 
 /**
  * The nodes of the deployment as rows of the platform's store. A node that starts reads them, greets
- * many of their members, and introduces itself to some; gossip does the rest. Each call to the store has its price, so a node
- * that was found by others first reads nothing, and one whose row is there writes nothing.
+ * many of their members, and introduces itself to some; gossip does the rest. Each call to the store has
+ * its price, so a node that was found by others first reads nothing, and one whose row is there writes
+ * nothing.
  */
 export class Roster {
 	private readonly goneSince = new Map<string, Millis>();
--- a/src/node/backend-keeper.ts
+++ b/src/node/backend-keeper.ts
@@ -42,7 +42,6 @@
 	private isNodeDraining = false;
 	/** Says that it serves, but may have said so long ago. */
 	private unconfirmed: Announcement | undefined;
-	private hasAttached = false;
 
 	constructor(private readonly parts: BackendKeeperParts) {
 		parts.clock.repeat(watchPeriod, () => {
@@ -171,8 +170,8 @@
 	private isConfirmed(announcement: Announcement): boolean {
 		const {instance, startedAt, sequence} = announcement;
 		const isTold = startedAt !== undefined && announcement.state === AnnouncedState.Serving;
-		const isFirst = this.parts.isRestart && !this.hasAttached;
 		const found = this.announcement;
+		const isFirst = this.parts.isRestart && found === undefined;
 		const isOtherThanFound =
 			found !== undefined && found.startedAt === undefined && found.instance !== instance;
 		if (!isTold || !(isFirst || isOtherThanFound)) {
@@ -189,7 +188,6 @@
 		const connections = announcement.connections ?? policy?.connections ?? defaultConnections;
 		const {executor, logger, clock} = this.parts;
 		this.startedAt = clock.now();
-		this.hasAttached = true;
 		if (!isAbsent) {
 			executor.detach();
 		}
--- a/src/routing/__tests__/unit/executor-draw.test.ts
+++ b/src/routing/__tests__/unit/executor-draw.test.ts
@@ -4,6 +4,7 @@
 import {createRandom} from '../../../random/index.js';
 import {ExecutorDraw} from '../../executor-draw.js';
 import {ObjectivePlacement} from '../../index.js';
+import {createQuery} from '../test-query.js';
 
 const none: ReadonlySet<string> = new Set();
 
@@ -87,20 +88,6 @@
 	});
 });
 
-function createQuery() {
-	return {
-		service: 's',
-		kind: 'k',
-		priority: 2,
-		isIdempotent: true,
-		timeLeft: 800,
-		objective: 400,
-		objectiveLeft: 400,
-		requestBytes: 0,
-		excluded: none,
-	};
-}
-
 /** Plays a service of a hundred executors whose speed jumps, called by one of many ingresses. */
 function playLargeService(seed: number, isOwn: boolean): number {
 	const clock = new ManualClock(1000);
--- a/src/routing/__tests__/unit/objective-placement.test.ts
+++ b/src/routing/__tests__/unit/objective-placement.test.ts
@@ -3,7 +3,8 @@
 import {ManualClock, type Millis} from '../../../clock/index.js';
 import {createSelf, Directory, MemberPhase, type Member} from '../../../membership/index.js';
 import {createRandom} from '../../../random/index.js';
-import {ObjectivePlacement, type PlacementQuery} from '../../index.js';
+import {ObjectivePlacement} from '../../index.js';
+import {createQuery} from '../test-query.js';
 
 const usual: LoadReport = {
 	inFlight: 0,
@@ -44,21 +45,6 @@
 	return {clock, directory, placement, near, zone, region};
 }
 
-function createQuery(change: Partial<PlacementQuery> = {}): PlacementQuery {
-	return {
-		service: 's',
-		kind: 'k',
-		priority: 2,
-		isIdempotent: true,
-		timeLeft: 800,
-		objective: 400,
-		objectiveLeft: 400,
-		requestBytes: 0,
-		excluded: new Set(),
-		...change,
-	};
-}
-
 describe('ObjectivePlacement', () => {
 	it('stays in the zone while that answers in time', () => {
 		const {placement, near} = createWorld();
--- a/src/routing/executor-draw.ts
+++ b/src/routing/executor-draw.ts
@@ -49,11 +49,16 @@
 		const {size, byDistance} = this.ringsOf(service);
 		const mayServe = (member: Member) => isRoutable(member) && !excluded.has(member.id);
 		const drawn = new Set<Member>();
+		const isSmall = size <= smallService;
 		for (const distance of [Distance.SameZone, Distance.SameRegion, Distance.OtherRegion]) {
-			const most = size <= smallService ? smallService : mostDrawn[distance];
+			const most = isSmall ? smallService : mostDrawn[distance];
 			this.drawFrom(byDistance[distance]!, most, mayServe, drawn);
 		}
 
+		if (isSmall) {
+			return drawn;
+		}
+
 		for (const id of this.fresh.get(service) ?? []) {
 			const member = this.directory.get(id);
 			if (member?.service === service && mayServe(member)) {
--- a/tests/bundle.test.ts
+++ b/tests/bundle.test.ts
@@ -1,16 +1,9 @@
 import {spawnSync} from 'node:child_process';
-import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {readDeployedCommand} from '../scaffold/deployment/deployed-command.js';
 import {eventually, Mesh} from '../scaffold/mesh/mesh.js';
 
-function readDeployedCommand(): string[] {
-	const [, words] = /^run = "node (.+) --settings/mv.exec(
-		readFileSync('deploy/system.toml', 'utf8'),
-	)!;
-	return words!.split(' ');
-}
-
 describe('the deployed program', () => {
 	const mesh = new Mesh(2, readDeployedCommand());
 
