--- a/bench/event-clock.ts
+++ b/bench/event-clock.ts
@@ -59,6 +59,23 @@
 		this.time = end;
 	}
 
+	/**
+	 * Like {@link runUntil}, but lets promises settle after each event.
+	 *
+	 * @param end - time in ms at which the clock stands afterwards.
+	 */
+	async runSettled(end: number): Promise<void> {
+		await settle();
+		for (let event = this.heap[0]; event && event.at <= end; event = this.heap[0]) {
+			this.pop();
+			this.time = event.at;
+			event.run();
+			await settle();
+		}
+
+		this.time = end;
+	}
+
 	private push(event: ScheduledEvent): void {
 		this.heap.push(event);
 		let i = this.heap.length - 1;
@@ -107,6 +124,12 @@
 	}
 }
 
+async function settle(): Promise<void> {
+	await new Promise<void>((resolve) => {
+		setImmediate(resolve);
+	});
+}
+
 function isBefore(a: ScheduledEvent, b: ScheduledEvent): boolean {
 	return a.at < b.at || (a.at === b.at && a.order < b.order);
 }
--- /dev/null
+++ b/bench/fleet/simulated-fleet.ts
@@ -0,0 +1,417 @@
+import {Deadline, type LoadReport} from '../../src/call/index.js';
+import {second, type Millis} from '../../src/clock/index.js';
+import {DeclarationIndex, type CallPolicy} from '../../src/declaration/index.js';
+import {
+	AttemptEnd,
+	Cancellation,
+	createBufferedBody,
+	type Attempt,
+	type AttemptResult,
+	type Call,
+	type CallEnd,
+} from '../../src/exchange/index.js';
+import {Mechanism, noneDisabled, type DisabledMechanisms} from '../../src/experiment/index.js';
+import {Executor} from '../../src/executor/index.js';
+import {CallRunner, ElapsedEstimator} from '../../src/ingress/index.js';
+import type {LinkHub} from '../../src/link/index.js';
+import {
+	createLocalMember,
+	Directory,
+	Distance,
+	distanceBetween,
+	MemberPhase,
+	type Gossip,
+	type Member,
+} from '../../src/membership/index.js';
+import {LoadBroadcaster} from '../../src/node/load-broadcaster.js';
+import {createRandom, type Random} from '../../src/random/index.js';
+import {ObjectivePlacement} from '../../src/routing/index.js';
+import {Metrics, silentLogger} from '../../src/telemetry/index.js';
+import {EventClock} from '../event-clock.js';
+import {SimulatedBackend} from './simulated-backend.js';
+import type {CallKind, Deployment, Episode} from './workload.js';
+
+/** Outcomes of the calls that began in one window of time. */
+export interface WindowOutcome {
+	asked: number;
+	inTime: number;
+	late: number;
+	refused: number;
+	failed: number;
+	/** Worth of all calls, and of the answers: a late one counts a tenth. */
+	worthAsked: number;
+	worthEarned: number;
+}
+
+/** Outcome of a simulation. */
+export interface FleetOutcome {
+	readonly windows: readonly WindowOutcome[];
+	readonly attempts: number;
+	readonly hedges: number;
+}
+
+const windowLength: Millis = 2 * second;
+const oneWay: Readonly<Record<Distance, Millis>> = {
+	[Distance.SameZone]: 0.4,
+	[Distance.SameRegion]: 1.6,
+	[Distance.OtherRegion]: 8.3,
+};
+const callerOneWay: Millis = 8;
+const lateWorth = 0.1;
+const maxQueue = 40;
+const limitsPeriod: Millis = 400;
+const probeDuration: Millis = 1;
+const maxSpeedAge: Millis = 200;
+const warmUpTime: Millis = 6 * second;
+const budgetSlack = 60;
+const callerRetryShare = 1 / 3;
+const patienceSpread = 0.15;
+
+function createWindow(): WindowOutcome {
+	return {asked: 0, inTime: 0, late: 0, refused: 0, failed: 0, worthAsked: 0, worthEarned: 0};
+}
+
+type FleetNode = {
+	readonly member: Member;
+	readonly backend: SimulatedBackend;
+	readonly executor: Executor;
+	readonly placement: ObjectivePlacement;
+	readonly runner: CallRunner;
+	readonly elapsed: ElapsedEstimator;
+};
+
+/**
+ * Simulates the nodes of a deployment with their real placement, admission and retries. Links, backend
+ * servers and callers are simulated, and all nodes know the members.
+ */
+export class SimulatedFleet {
+	private readonly clock = new EventClock();
+	private readonly random: Random;
+	private readonly directory = new Directory();
+	private readonly nodes: FleetNode[] = [];
+	private readonly byId = new Map<string, FleetNode>();
+	private readonly kinds = new Map<string, CallKind>();
+	private readonly metrics = new Metrics();
+	private readonly index: DeclarationIndex;
+	private readonly windows: WindowOutcome[] = [];
+	private readonly lowestPriority: number;
+	private readonly origin: Millis;
+	private requests = 0;
+	private attempts = 0;
+
+	constructor(
+		private readonly deployment: Deployment,
+		private readonly episode: Episode,
+		seed: number,
+		private readonly disabled: DisabledMechanisms = noneDisabled,
+	) {
+		this.random = createRandom(seed);
+		this.origin = episode.isColdStart ? 0 : warmUpTime;
+		for (const kind of deployment.kinds) {
+			this.kinds.set(kind.name, kind);
+		}
+
+		this.lowestPriority = Math.max(...deployment.kinds.map(({priority}) => priority));
+		this.index = new DeclarationIndex(1, {deployment: '', services: [], calls: [], links: []});
+		this.createNodes(seed);
+	}
+
+	/** @returns the outcome, by windows of the time at which calls began. */
+	async run(): Promise<FleetOutcome> {
+		for (const kind of this.deployment.kinds) {
+			if (kind.rate > 0) {
+				this.scheduleArrival(kind);
+			}
+		}
+
+		await this.clock.runSettled(this.origin + this.episode.duration + 3 * second);
+		const hedges = await this.metrics.retries.get();
+		const hedgeCount = hedges.values.find(({labels}) => labels.reason === 'hedge')?.value ?? 0;
+		return {windows: this.windows, attempts: this.attempts, hedges: hedgeCount};
+	}
+
+	private createNodes(seed: number): void {
+		const {deployment} = this;
+		let number = 0;
+		for (const service of deployment.services) {
+			for (let i = 0; i < service.executors; i++) {
+				const place = deployment.zones[i % deployment.zones.length]!;
+				number += 1;
+				const id = `10.0.${Math.floor(number / 250)}.${number % 250}:7001`;
+				const member = {
+					...createLocalMember(id, 1, place),
+					phase: MemberPhase.Serving,
+					service: service.name,
+					slots: service.slots,
+				};
+				this.directory.merge(member);
+				this.createNode(member, i, createRandom(seed * 1000 + number));
+			}
+		}
+	}
+
+	private createNode(member: Member, index: number, random: Random): void {
+		const {clock, metrics, directory, deployment, disabled, episode} = this;
+		const backend = new SimulatedBackend(member.service, member.slots, index, {
+			clock,
+			random,
+			deployment,
+			episode,
+			origin: this.origin,
+			kindOf: (route) => this.kinds.get(route)!,
+			callNested: async (kind, parent) => this.callNested(member.id, kind, parent),
+		});
+		const placement = new ObjectivePlacement({
+			clock,
+			directory,
+			self: () => member,
+			random,
+			disabled,
+			costs: {otherZone: deployment.otherZoneCost, otherRegion: deployment.otherRegionCost},
+			lowestPriority: () => this.lowestPriority,
+		});
+		const probeSpeed = async () => {
+			await this.pause(probeDuration);
+			executor.readSpeed(backend.slowdown);
+		};
+
+		const hub: Pick<LinkHub, 'broadcastLoad'> = {
+			broadcastLoad: (load, filter) => {
+				this.broadcastLoad(member, load, ({id}) => filter({id, instance: id, region: ''}, false));
+			},
+		};
+		const broadcaster = new LoadBroadcaster({
+			clock,
+			disabled,
+			gossip: {directory, localMember: member} as unknown as Gossip,
+			hub: hub as LinkHub,
+			report: () => executor.report(),
+		});
+		const executor: Executor = new Executor({
+			clock,
+			metrics,
+			logger: silentLogger,
+			disabled,
+			createSender: () => backend,
+			crashWatch: {
+				isHeld: () => false,
+				recordAnswered: () => undefined,
+				recordBroken: () => undefined,
+			},
+			onBackendUnreachable: () => undefined,
+			onLoadChanged() {
+				broadcaster.scheduleBroadcast();
+				placement.recordLoad(member.id, executor.report());
+				runner.reconsiderHedges(member.id);
+			},
+			probeSpeed,
+		});
+		const runner: CallRunner = new CallRunner({
+			clock,
+			metrics,
+			logger: silentLogger,
+			disabled,
+			placement,
+			instance: member.id,
+			budgetBursts: () => ({
+				retries: (budgetSlack * 0.8 * 0.6) / this.nodes.length,
+				hedges: (budgetSlack * 0.8 * 0.4) / this.nodes.length,
+			}),
+			runnerTo: (id) => ({run: async (attempt) => this.deliver(member, id, attempt)}),
+		});
+		executor.attach(
+			{endpoint: {address: '127.0.0.1', port: 1}, instance: member.id, connections: member.slots},
+			member.service,
+		);
+		const applyLimits = () => {
+			executor.setWarmUp(backend.warmUpLeft > 0 ? deployment.cold.slowdown : 1);
+			executor.setLimits(member.slots, maxQueue);
+		};
+
+		applyLimits();
+		clock.repeat(limitsPeriod, applyLimits);
+		clock.repeat(100, () => {
+			if (executor.speedAge >= maxSpeedAge && executor.idleTime <= second) {
+				void probeSpeed();
+			}
+		});
+		const node = {member, backend, executor, placement, runner, elapsed: new ElapsedEstimator()};
+		this.nodes.push(node);
+		this.byId.set(member.id, node);
+	}
+
+	private broadcastLoad(
+		from: Member,
+		load: LoadReport,
+		isAllowed: (peer: Member) => boolean,
+	): void {
+		for (const {member, placement, runner} of this.nodes) {
+			if (member.id !== from.id && isAllowed(member)) {
+				this.clock.after(oneWay[distanceBetween(from, member)], () => {
+					placement.recordLoad(from.id, load);
+					runner.reconsiderHedges(from.id);
+				});
+			}
+		}
+	}
+
+	private async deliver(from: Member, id: string, attempt: Attempt): Promise<AttemptResult> {
+		const target = this.byId.get(id)!;
+		this.attempts += 1;
+		if (id === from.id) {
+			return target.executor.run(attempt);
+		}
+
+		const delay = oneWay[distanceBetween(from, target.member)];
+		const cancellation = new Cancellation();
+		attempt.cancellation.registerListener(() => {
+			this.clock.after(delay, () => {
+				cancellation.cancel();
+			});
+		});
+		await this.pause(delay);
+		const result = await target.executor.run({...attempt, cancellation});
+		await this.pause(delay);
+		return result;
+	}
+
+	private async pause(duration: Millis): Promise<void> {
+		await new Promise<void>((resolve) => {
+			this.clock.after(duration, resolve);
+		});
+	}
+
+	private scheduleArrival(kind: CallKind): void {
+		const {clock, random, episode, origin} = this;
+		const load = clock.now() < origin ? 1 : episode.load(clock.now() - origin);
+		const gap = (-Math.log(1 - random.next()) * second) / (kind.rate * load);
+		clock.after(gap, () => {
+			if (clock.now() < origin + episode.duration) {
+				void this.callFromOutside(kind);
+				this.scheduleArrival(kind);
+			}
+		});
+	}
+
+	private windowAt(at: Millis): WindowOutcome | undefined {
+		if (at < this.origin) {
+			return undefined;
+		}
+
+		const index = Math.floor((at - this.origin) / windowLength);
+		while (this.windows.length <= index) {
+			this.windows.push(createWindow());
+		}
+
+		return this.windows[index];
+	}
+
+	// A caller honours `Retry-After` up to a third of the time that it has left, and tries again once.
+	private async callFromOutside(kind: CallKind): Promise<void> {
+		const {clock, random} = this;
+		const startedAt = clock.now();
+		const window = this.windowAt(startedAt) ?? createWindow();
+		const timeout = kind.timeout * (1 - patienceSpread * random.next());
+		window.asked += 1;
+		window.worthAsked += kind.worth;
+		for (let retries = 0; ; retries++) {
+			const node = this.nodes[random.below(this.nodes.length)]!;
+			this.requests += 1;
+			const id = `${this.requests}`.padStart(8, '0');
+			await this.pause(callerOneWay);
+			const timeLeft = startedAt + timeout - clock.now();
+			const end = await this.runCall(node, kind, id, timeLeft, kind.objective);
+			await this.pause(callerOneWay);
+			const {result} = end;
+			const duration = clock.now() - startedAt;
+			if (result.end === AttemptEnd.Answered && result.status < 500) {
+				if (duration <= kind.objective) {
+					window.inTime += 1;
+					window.worthEarned += kind.worth;
+				} else if (duration <= timeout) {
+					window.late += 1;
+					window.worthEarned += kind.worth * lateWorth;
+				} else {
+					window.failed += 1;
+				}
+
+				return;
+			}
+
+			const isRefused = result.end === AttemptEnd.Refused;
+			const left = startedAt + timeout - clock.now();
+			if (retries > 0 || left < 20 || !(isRefused || kind.isIdempotent)) {
+				window[isRefused ? 'refused' : 'failed'] += 1;
+				return;
+			}
+
+			await this.pause(Math.min(end.retryAfter ?? 0, left * callerRetryShare) + 2 * callerOneWay);
+		}
+	}
+
+	private async callNested(id: string, kindName: string, parent: Attempt): Promise<boolean> {
+		const kind = this.kinds.get(kindName)!;
+		this.requests += 1;
+		const requestId = `${parent.head.origin.requestId}.${this.requests}`;
+		const timeLeft = Math.min(kind.timeout, parent.deadline.timeLeft(this.clock.now()));
+		const node = this.byId.get(id)!;
+		const {result} = await this.runCall(node, kind, requestId, timeLeft, kind.objective);
+		return result.end === AttemptEnd.Answered && result.status < 500;
+	}
+
+	private async runCall(
+		node: FleetNode,
+		kind: CallKind,
+		requestId: string,
+		timeLeft: Millis,
+		objective: Millis,
+	): Promise<CallEnd> {
+		const now = this.clock.now();
+		const {service, priority, isIdempotent, name, timeout} = kind;
+		const isOuter = kind.rate > 0;
+		const elapsed =
+			isOuter && !this.disabled.has(Mechanism.ElapsedTime) ? node.elapsed.add(name, timeLeft) : 0;
+		const policy: CallPolicy = {
+			service,
+			customer: '',
+			deadline: timeout,
+			maxDeadline: timeout,
+			idempotentMethods: [],
+			idempotentPaths: [],
+			maxAttempts: 3,
+			retryShare: isOuter ? 0.09 : 0,
+			hedgeShare: isOuter ? 0.06 : 0,
+			share: 1,
+			keyRetention: 0,
+		};
+		const call: Call = {
+			head: {
+				service,
+				customer: '',
+				method: isIdempotent ? 'GET' : 'POST',
+				path: '/',
+				headers: [],
+				isIdempotent,
+				key: undefined,
+				origin: {requestId, caller: node.member.service, route: name, priority},
+				fingerprint: requestId,
+			},
+			policy,
+			service: {
+				service,
+				kind: '',
+				queue: maxQueue,
+				warmUp: 0,
+				probeBudget: 0,
+				isOtherRegionAllowed: true,
+			},
+			index: this.index,
+			deadline: Deadline.in(now, timeLeft),
+			objective: Deadline.in(now, objective - elapsed),
+			objectiveDuration: objective,
+			body: createBufferedBody(new Uint8Array()),
+			cancellation: new Cancellation(),
+		};
+		return node.runner.run(call);
+	}
+}
