Keep slots for calls that can be in time while such calls miss their objective

Change: late calls start only while no call misses its objective for want of a slot (late-capacity); late ones that the spare capacity cannot serve are refused at once. The expected work is at most 3/4 of the objective, as a higher estimate held back every call, and the margin of a start is 1.1 run times.

--- a/bench/fleet/workload.ts
+++ b/bench/fleet/workload.ts
@@ -299,6 +299,13 @@
 		load: () => 1.15,
 		slowdown: noSlowdown,
 	},
+	{
+		name: 'cold overload',
+		duration: 4 * second,
+		isColdStart: true,
+		load: () => 2.2,
+		slowdown: noSlowdown,
+	},
 	{
 		name: 'burst',
 		duration: 9 * second,
--- a/src/backend/__tests__/unit/saturation.test.ts
+++ b/src/backend/__tests__/unit/saturation.test.ts
@@ -33,3 +33,11 @@
 		expect(saturation.limit(slots, 0)).toBe(10);
 	});
 });
+
+describe('Saturation of a backend server with one slot', () => {
+	it('never counts a single running call as saturation', () => {
+		const saturation = new Saturation();
+		expect(saturation.isSaturated(1, 1)).toBe(false);
+		expect(saturation.limit(1, 0)).toBe(1);
+	});
+});
--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -2,9 +2,9 @@
 import type {Clock, Millis} from '../clock/index.js';
 import {Mechanism, noneDisabled, type DisabledMechanisms} from '../experiment/index.js';
 import {invariant} from '../util/index.js';
+import {LateCapacity} from './late-capacity.js';
 import {canMeetObjective, compareUrgency, latestStart, type Urgency} from './queue-order.js';
 import {ServiceTime} from './service-time.js';
-import {SpareCapacity} from './spare-capacity.js';
 
 /** A request for a slot at the backend server. Either `start` or `refuse` is called, once, unless it is withdrawn first. */
 export interface AdmissionRequest extends Urgency {
@@ -47,7 +47,9 @@
 	private readonly queue: AdmissionRequest[] = [];
 	private readonly usage = new Map<string, Usage>();
 	private readonly serviceTime = new ServiceTime();
-	private readonly spareCapacity = new SpareCapacity();
+	private readonly lateCapacity = new LateCapacity();
+	/** Queued calls that could meet their objective when they were queued. */
+	private readonly queuedInTime = new Set<AdmissionRequest>();
 
 	constructor(
 		private readonly clock: Pick<Clock, 'now'>,
@@ -79,7 +81,7 @@
 		const reason = this.refusalFor(request);
 		if (reason !== undefined) {
 			request.refuse(reason);
-		} else if (this.running.size < this.limits.slots && !isDelayed(request)) {
+		} else if (this.running.size < this.limits.slots && this.mayStart(request)) {
 			this.startRequest(request);
 		} else {
 			this.enqueue(request);
@@ -98,6 +100,7 @@
 		}
 
 		this.queue.splice(index, 1);
+		this.queuedInTime.delete(request);
 		this.usageOf(request).queued -= 1;
 		this.removeIdleUsage(request.customer);
 		return true;
@@ -173,6 +176,15 @@
 	}
 
 	private refuseUnservableLate(now: Millis): void {
+		for (const request of this.queuedInTime) {
+			if (!canMeetObjective(request, now)) {
+				this.queuedInTime.delete(request);
+				if (!isDelayed(request)) {
+					this.lateCapacity.recordMiss(now);
+				}
+			}
+		}
+
 		const late = this.queue.filter((request) => !canMeetObjective(request, now));
 		late.sort((a, b) => this.compare(a, b));
 		let lateBefore = 0;
@@ -194,12 +206,11 @@
 		}
 
 		const isFull = this.running.size >= this.limits.slots;
-		const mustWait = isFull || isDelayed(request);
-		if (!mustWait) {
+		if (!isFull && this.mayStart(request)) {
 			return undefined;
 		}
 
-		if (request.canRetryElsewhere) {
+		if (request.canRetryElsewhere && (isFull || isDelayed(request))) {
 			return isFull ? RefusalReason.Busy : RefusalReason.BackendSlow;
 		}
 
@@ -211,8 +222,14 @@
 			return RefusalReason.DeadlineTooShort;
 		}
 
-		if (this.willBeLate(request) && !this.isServableLate(request, this.countLateBefore(request))) {
-			return RefusalReason.DeadlineTooShort;
+		if (this.willBeLate(request)) {
+			if (isFull && canMeetObjective(request, this.clock.now())) {
+				this.lateCapacity.recordMiss(this.clock.now());
+			}
+
+			if (!this.isServableLate(request, this.countLateBefore(request))) {
+				return RefusalReason.DeadlineTooShort;
+			}
 		}
 
 		return this.makeRoomFor(request) ? undefined : RefusalReason.QueueFull;
@@ -241,7 +258,7 @@
 		}
 
 		const serviceTime = this.currentServiceTime();
-		const spareSlots = Math.max(1, this.limits.slots) * this.spareCapacity.share;
+		const spareSlots = Math.max(1, this.limits.slots) * this.lateCapacity.share;
 		const wait = ((lateBefore + 1) / spareSlots) * serviceTime;
 		return wait + serviceTime <= request.deadline.timeLeft(this.clock.now());
 	}
@@ -322,18 +339,31 @@
 		return Math.max(this.serviceTime.average / 2, delay + request.work * shortRunFactor);
 	}
 
+	private mayStart(request: AdmissionRequest): boolean {
+		const now = this.clock.now();
+		return !isDelayed(request) && (canMeetObjective(request, now) || this.isOpenToLate(now));
+	}
+
+	private isOpenToLate(now: Millis): boolean {
+		const isReserving = !this.disabled.has(Mechanism.LateReserve);
+		return !isReserving || this.lateCapacity.isOpen(now, this.currentServiceTime());
+	}
+
 	private startRequest(request: AdmissionRequest): void {
 		const now = this.clock.now();
-		const isSpare =
-			!canMeetObjective(request, now) || !this.queue.some((other) => canMeetObjective(other, now));
-		this.spareCapacity.recordStart(isSpare);
-		this.running.set(request, this.clock.now());
+		const isInTimeWaiting = this.queue.some((other) => canMeetObjective(other, now));
+		this.lateCapacity.recordStart(this.isOpenToLate(now) && !isInTimeWaiting);
+		this.running.set(request, now);
 		this.usageOf(request).running += 1;
 		request.start();
 	}
 
 	private enqueue(request: AdmissionRequest): void {
 		this.queue.push(request);
+		if (canMeetObjective(request, this.clock.now())) {
+			this.queuedInTime.add(request);
+		}
+
 		this.usageOf(request).queued += 1;
 	}
 
@@ -360,7 +390,7 @@
 		const isOverloaded = this.isOverloaded();
 		let next: AdmissionRequest | undefined;
 		for (const request of this.queue) {
-			if (isDelayed(request)) {
+			if (!this.mayStart(request)) {
 				continue;
 			}
 
--- a/src/backend/queue-order.ts
+++ b/src/backend/queue-order.ts
@@ -1,8 +1,8 @@
 import type {Deadline} from '../call/index.js';
 import type {Millis} from '../clock/index.js';
 
-/** Duration of a long run relative to the mean, by the usual spread of run times. */
-const longRunFactor = 1.2;
+/** Run time relative to the mean that a start must leave; about two of three runs are shorter. */
+const runTimeMargin = 1.1;
 
 /** Properties of a call that determine its position in the queue. */
 export interface Urgency {
@@ -18,10 +18,10 @@
 /**
  * @param limit - objective or deadline of a call.
  * @param call - the call.
- * @returns the latest start that meets the limit, as monotonic time in ms.
+ * @returns the latest start that meets the limit with most run times, as monotonic time in ms.
  */
 export function latestStart(limit: Deadline, {work}: Pick<Urgency, 'work'>): Millis {
-	return limit.at - work * longRunFactor;
+	return limit.at - work * runTimeMargin;
 }
 
 /**
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -86,6 +86,11 @@
 const maxSpeedAgeWhileHolding: Millis = 30;
 /** Ratio of two slowdowns above which the change is reported to the callers' nodes. */
 const minReportedSpeedRatio = 1.5;
+/**
+ * Upper bound of the expected work as a share of the objective: a call that has just arrived counts as one
+ * that can be in time. A higher estimate would hold back every call.
+ */
+const maxWorkShare = 0.75;
 /** Load per slot at or below which a backend server that was reported as full is reported as free. */
 const freeLoadShare = 0.8;
 
@@ -301,7 +306,7 @@
 		this.isSweeping = true;
 		this.deps.clock.after(sweepInterval, () => {
 			this.isSweeping = false;
-			this.admission.sweep();
+			this.admission.dispatch();
 			this.probeWhileSlow();
 			this.scheduleSweep();
 		});
@@ -331,7 +336,9 @@
 	private expectedWork({head, objective}: Attempt): Millis {
 		const timeLeft = objective.timeLeft(this.deps.clock.now());
 		const {work} = this.profiles.of(head.origin.route, timeLeft);
-		return Math.max(1, work) * Math.max(this.speed.baseline, this.warmUpSlowdown);
+		const expected = Math.max(1, work) * Math.max(this.speed.baseline, this.warmUpSlowdown);
+		const longest = this.profiles.longestObjective(head.origin.route, timeLeft);
+		return Math.min(expected, Math.max(1, longest * maxWorkShare));
 	}
 
 	private refusalReason(attempt: Attempt): RefusalReason | undefined {
--- a/src/experiment/mechanism.ts
+++ b/src/experiment/mechanism.ts
@@ -10,6 +10,8 @@
 	OverloadOrder = 'overload-order',
 	/** Refuses late calls that will not be served in the capacity that the others leave. */
 	LateRefusal = 'late-refusal',
+	/** Starts no late calls while others miss their objective for want of a slot. */
+	LateReserve = 'late-reserve',
 	/** Keeps slots free of a backend server that slows down when most of them are busy. */
 	SaturationLimit = 'saturation-limit',
 	/** Sends changes of the load to linked nodes. */
--- a/src/ingress/elapsed-estimator.ts
+++ b/src/ingress/elapsed-estimator.ts
@@ -45,6 +45,6 @@
 			return 0;
 		}
 
-		return limits.returningShare > maxReturningShare ? 0 : limits.usual - timeLeft;
+		return limits.returningShare > maxReturningShare ? 0 : Math.max(0, limits.usual - timeLeft);
 	}
 }
--- a/src/routing/call-profiles.ts
+++ b/src/routing/call-profiles.ts
@@ -51,17 +51,24 @@
 	 * @returns the expected cost of such a call.
 	 */
 	of(kind: string, objective: Millis): CallProfile {
+		const longest = this.longestObjective(kind, objective);
 		const entry = this.entries.get(kind);
-		if (entry) {
-			return entry;
-		}
+		return entry ?? {work: longest * initialWorkShare, answerBytes: defaultAnswerBytes};
+	}
 
-		const longest = Math.max(objective, this.longestObjectives.get(kind) ?? 0);
-		if (this.longestObjectives.size < maxKinds) {
+	/**
+	 * @param kind - a kind of call.
+	 * @param objective - time left to the latency objective of such a call, in ms.
+	 * @returns the longest such time seen, in ms, which is about the objective itself.
+	 */
+	longestObjective(kind: string, objective: Millis): Millis {
+		const known = this.longestObjectives.get(kind);
+		const longest = Math.max(objective, known ?? 0);
+		if (longest !== known && (known !== undefined || this.longestObjectives.size < maxKinds)) {
 			this.longestObjectives.set(kind, longest);
 		}
 
-		return {work: longest * initialWorkShare, answerBytes: defaultAnswerBytes};
+		return longest;
 	}
 
 	/**
