--- /dev/null
+++ b/src/settings/__tests__/unit/node-settings.test.ts
@@ -0,0 +1,31 @@
+import {describe, expect, it} from 'vitest';
+import {Mechanism} from '../../../experiment/index.js';
+import {FindingsError} from '../../../ini/index.js';
+import {parseNodeSettings} from '../../index.js';
+
+const required = `[node]
+address = 127.0.0.1
+region = r
+zone = z
+[peers]
+secret = long enough
+`;
+
+describe('parseNodeSettings', () => {
+	it('switches nothing off without an experiment', () => {
+		expect(parseNodeSettings('node.ini', required).disabled.size).toBe(0);
+	});
+
+	it('switches the named mechanisms off', () => {
+		const text = `${required}[experiment]\ndisable = hedging, late-reserve\n`;
+		const {disabled} = parseNodeSettings('node.ini', text);
+		expect([...disabled]).toEqual([Mechanism.Hedging, Mechanism.LateReserve]);
+	});
+
+	it('reports an unknown mechanism with its place', () => {
+		const text = `${required}[experiment]\ndisable = hedging, constructor\n`;
+		const parse = () => parseNodeSettings('node.ini', text);
+		expect(parse).toThrow(FindingsError);
+		expect(parse).toThrow(/node\.ini:8.*"constructor" is not known/v);
+	});
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,7 +3,7 @@
 
 const config = {
 	test: {
-		include: ['{src,platform}/**/__tests__/unit/*.test.ts', 'tests/**/*.test.ts'],
+		include: ['{src,platform,bench}/**/__tests__/unit/*.test.ts', 'tests/**/*.test.ts'],
 		testTimeout: hangLimit,
 		hookTimeout: hangLimit,
 		pool: 'forks',
