--- a/bench/fleet/simulated-fleet.ts
+++ b/bench/fleet/simulated-fleet.ts
@@ -11,24 +11,18 @@
 	type CallEnd,
 } from '../../src/exchange/index.js';
 import {Mechanism, noneDisabled, type DisabledMechanisms} from '../../src/experiment/index.js';
-import {Executor} from '../../src/executor/index.js';
-import {CallRunner, ElapsedEstimator} from '../../src/ingress/index.js';
-import type {LinkHub} from '../../src/link/index.js';
 import {
 	createLocalMember,
 	Directory,
 	Distance,
 	distanceBetween,
 	MemberPhase,
-	type Gossip,
 	type Member,
 } from '../../src/membership/index.js';
-import {LoadBroadcaster} from '../../src/node/load-broadcaster.js';
 import {createRandom, type Random} from '../../src/random/index.js';
-import {ObjectivePlacement} from '../../src/routing/index.js';
-import {Metrics, silentLogger} from '../../src/telemetry/index.js';
+import {Metrics} from '../../src/telemetry/index.js';
 import {EventClock} from '../event-clock.js';
-import {SimulatedBackend} from './simulated-backend.js';
+import {maxQueue, SimulatedNode} from './simulated-node.js';
 import type {CallKind, Deployment, Episode} from './workload.js';
 
 /** Outcomes of the calls that began in one window of time. */
@@ -51,35 +45,34 @@
 }
 
 const windowLength: Millis = 2 * second;
+/** One-way delay between two nodes, by distance, in ms. */
 const oneWay: Readonly<Record<Distance, Millis>> = {
 	[Distance.SameZone]: 0.4,
 	[Distance.SameRegion]: 1.6,
 	[Distance.OtherRegion]: 8.3,
 };
+/** One-way delay between a caller and a node. */
 const callerOneWay: Millis = 8;
+/** Worth of a late answer relative to one in time. */
 const lateWorth = 0.1;
-const maxQueue = 40;
-const limitsPeriod: Millis = 400;
-const probeDuration: Millis = 1;
-const maxSpeedAge: Millis = 200;
+/** Simulated time before an episode that does not begin with a start of all nodes. */
 const warmUpTime: Millis = 6 * second;
-const budgetSlack = 60;
+/** Share of its time left for which a caller honours `Retry-After`. */
 const callerRetryShare = 1 / 3;
+/** Callers set time limits up to this share below the time-out of the route. */
 const patienceSpread = 0.15;
+/** Further attempts allowed as a share of the calls. */
+const retryShare = 0.09;
+const hedgeShare = 0.06;
+const maxAttempts = 3;
+/** Time left below which a caller does not try again. */
+const minRetryTime: Millis = 20;
+const serverErrorStatus = 500;
 
 function createWindow(): WindowOutcome {
 	return {asked: 0, inTime: 0, late: 0, refused: 0, failed: 0, worthAsked: 0, worthEarned: 0};
 }
 
-type FleetNode = {
-	readonly member: Member;
-	readonly backend: SimulatedBackend;
-	readonly executor: Executor;
-	readonly placement: ObjectivePlacement;
-	readonly runner: CallRunner;
-	readonly elapsed: ElapsedEstimator;
-};
-
 /**
  * Simulates the nodes of a deployment with their real placement, admission and retries. Links, backend
  * servers and callers are simulated, and all nodes know the members.
@@ -88,8 +81,8 @@
 	private readonly clock = new EventClock();
 	private readonly random: Random;
 	private readonly directory = new Directory();
-	private readonly nodes: FleetNode[] = [];
-	private readonly byId = new Map<string, FleetNode>();
+	private readonly nodes: SimulatedNode[] = [];
+	private readonly byId = new Map<string, SimulatedNode>();
 	private readonly kinds = new Map<string, CallKind>();
 	private readonly metrics = new Metrics();
 	private readonly index: DeclarationIndex;
@@ -151,91 +144,25 @@
 	}
 
 	private createNode(member: Member, index: number, random: Random): void {
-		const {clock, metrics, directory, deployment, disabled, episode} = this;
-		const backend = new SimulatedBackend(member.service, member.slots, index, {
+		const {clock, metrics, directory, deployment, disabled, episode, origin} = this;
+		const node = new SimulatedNode(member, index, {
 			clock,
 			random,
+			metrics,
+			directory,
 			deployment,
+			disabled,
 			episode,
-			origin: this.origin,
+			origin,
+			lowestPriority: this.lowestPriority,
 			kindOf: (route) => this.kinds.get(route)!,
 			callNested: async (kind, parent) => this.callNested(member.id, kind, parent),
-		});
-		const placement = new ObjectivePlacement({
-			clock,
-			directory,
-			self: () => member,
-			random,
-			disabled,
-			costs: {otherZone: deployment.otherZoneCost, otherRegion: deployment.otherRegionCost},
-			lowestPriority: () => this.lowestPriority,
-		});
-		const probeSpeed = async () => {
-			await this.pause(probeDuration);
-			executor.readSpeed(backend.slowdown);
-		};
-
-		const hub: Pick<LinkHub, 'broadcastLoad'> = {
-			broadcastLoad: (load, filter) => {
-				this.broadcastLoad(member, load, ({id}) => filter({id, instance: id, region: ''}, false));
-			},
-		};
-		const broadcaster = new LoadBroadcaster({
-			clock,
-			disabled,
-			gossip: {directory, localMember: member} as unknown as Gossip,
-			hub: hub as LinkHub,
-			report: () => executor.report(),
-		});
-		const executor: Executor = new Executor({
-			clock,
-			metrics,
-			logger: silentLogger,
-			disabled,
-			createSender: () => backend,
-			crashWatch: {
-				isHeld: () => false,
-				recordAnswered: () => undefined,
-				recordBroken: () => undefined,
+			countNodes: () => this.nodes.length,
+			deliver: async (id, attempt) => this.deliver(member, id, attempt),
+			broadcastLoad: (load, isAllowed) => {
+				this.broadcastLoad(member, load, isAllowed);
 			},
-			onBackendUnreachable: () => undefined,
-			onLoadChanged() {
-				broadcaster.scheduleBroadcast();
-				placement.recordLoad(member.id, executor.report());
-				runner.reconsiderHedges(member.id);
-			},
-			probeSpeed,
-		});
-		const runner: CallRunner = new CallRunner({
-			clock,
-			metrics,
-			logger: silentLogger,
-			disabled,
-			placement,
-			instance: member.id,
-			budgetBursts: () => ({
-				retries: (budgetSlack * 0.8 * 0.6) / this.nodes.length,
-				hedges: (budgetSlack * 0.8 * 0.4) / this.nodes.length,
-			}),
-			runnerTo: (id) => ({run: async (attempt) => this.deliver(member, id, attempt)}),
-		});
-		executor.attach(
-			{endpoint: {address: '127.0.0.1', port: 1}, instance: member.id, connections: member.slots},
-			member.service,
-		);
-		const applyLimits = () => {
-			executor.setWarmUp(backend.warmUpLeft > 0 ? deployment.cold.slowdown : 1);
-			executor.setLimits(member.slots, maxQueue);
-		};
-
-		applyLimits();
-		clock.repeat(limitsPeriod, applyLimits);
-		clock.repeat(100, () => {
-			if (executor.speedAge >= maxSpeedAge && executor.idleTime <= second) {
-				void probeSpeed();
-			}
 		});
-		const node = {member, backend, executor, placement, runner, elapsed: new ElapsedEstimator()};
 		this.nodes.push(node);
 		this.byId.set(member.id, node);
 	}
@@ -245,11 +172,11 @@
 		load: LoadReport,
 		isAllowed: (peer: Member) => boolean,
 	): void {
-		for (const {member, placement, runner} of this.nodes) {
+		for (const node of this.nodes) {
+			const {member} = node;
 			if (member.id !== from.id && isAllowed(member)) {
 				this.clock.after(oneWay[distanceBetween(from, member)], () => {
-					placement.recordLoad(from.id, load);
-					runner.reconsiderHedges(from.id);
+					node.recordLoad(from.id, load);
 				});
 			}
 		}
@@ -320,11 +247,11 @@
 			const id = `${this.requests}`.padStart(8, '0');
 			await this.pause(callerOneWay);
 			const timeLeft = startedAt + timeout - clock.now();
-			const end = await this.runCall(node, kind, id, timeLeft, kind.objective);
+			const end = await this.runCall(node, kind, id, timeLeft);
 			await this.pause(callerOneWay);
 			const {result} = end;
 			const duration = clock.now() - startedAt;
-			if (result.end === AttemptEnd.Answered && result.status < 500) {
+			if (result.end === AttemptEnd.Answered && result.status < serverErrorStatus) {
 				if (duration <= kind.objective) {
 					window.inTime += 1;
 					window.worthEarned += kind.worth;
@@ -340,7 +267,7 @@
 
 			const isRefused = result.end === AttemptEnd.Refused;
 			const left = startedAt + timeout - clock.now();
-			if (retries > 0 || left < 20 || !(isRefused || kind.isIdempotent)) {
+			if (retries > 0 || left < minRetryTime || !(isRefused || kind.isIdempotent)) {
 				window[isRefused ? 'refused' : 'failed'] += 1;
 				return;
 			}
@@ -355,19 +282,18 @@
 		const requestId = `${parent.head.origin.requestId}.${this.requests}`;
 		const timeLeft = Math.min(kind.timeout, parent.deadline.timeLeft(this.clock.now()));
 		const node = this.byId.get(id)!;
-		const {result} = await this.runCall(node, kind, requestId, timeLeft, kind.objective);
-		return result.end === AttemptEnd.Answered && result.status < 500;
+		const {result} = await this.runCall(node, kind, requestId, timeLeft);
+		return result.end === AttemptEnd.Answered && result.status < serverErrorStatus;
 	}
 
 	private async runCall(
-		node: FleetNode,
+		node: SimulatedNode,
 		kind: CallKind,
 		requestId: string,
 		timeLeft: Millis,
-		objective: Millis,
 	): Promise<CallEnd> {
 		const now = this.clock.now();
-		const {service, priority, isIdempotent, name, timeout} = kind;
+		const {service, priority, isIdempotent, name, timeout, objective} = kind;
 		const isOuter = kind.rate > 0;
 		const elapsed =
 			isOuter && !this.disabled.has(Mechanism.ElapsedTime) ? node.elapsed.add(name, timeLeft) : 0;
@@ -378,9 +304,9 @@
 			maxDeadline: timeout,
 			idempotentMethods: [],
 			idempotentPaths: [],
-			maxAttempts: 3,
-			retryShare: isOuter ? 0.09 : 0,
-			hedgeShare: isOuter ? 0.06 : 0,
+			maxAttempts,
+			retryShare: isOuter ? retryShare : 0,
+			hedgeShare: isOuter ? hedgeShare : 0,
 			share: 1,
 			keyRetention: 0,
 		};
--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -128,6 +128,7 @@
 	/** Refuses queued calls that will not be answered before their deadline; called every few ms. */
 	sweep(): void {
 		const now = this.clock.now();
+		this.recordMisses(now);
 		this.refuseUnservableLate(now);
 		const tooLate = this.queue.filter(
 			(request) => request.deadline.timeLeft(now) < this.minimumTime(request),
@@ -175,7 +176,8 @@
 		};
 	}
 
-	private refuseUnservableLate(now: Millis): void {
+	// Queued calls that have become late because no slot was free.
+	private recordMisses(now: Millis): void {
 		for (const request of this.queuedInTime) {
 			if (!canMeetObjective(request, now)) {
 				this.queuedInTime.delete(request);
@@ -184,7 +186,9 @@
 				}
 			}
 		}
+	}
 
+	private refuseUnservableLate(now: Millis): void {
 		const late = this.queue.filter((request) => !canMeetObjective(request, now));
 		late.sort((a, b) => this.compare(a, b));
 		let lateBefore = 0;
