Read the expected work of a run without recording its run time as an objective

Cause: the saturation check looked a kind of call up with the run time in the place of the objective, so that the longest objective seen, which bounds the expected work, grew with slow runs.

--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -467,7 +467,8 @@
 			return;
 		}
 
-		this.saturation.recordRun(running.isSaturated, ran, this.profiles.of(route, ran).work);
+		const {work} = this.profiles.of(route, 0);
+		this.saturation.recordRun(running.isSaturated, ran, work);
 		if (!running.isSaturated) {
 			this.profiles.add(route, ran, 0);
 		}
