--- a/tests/docs.test.ts
+++ b/tests/docs.test.ts
@@ -10,7 +10,7 @@
 /** @returns the test file and the test name of each row in docs/PROOFS.md. */
 function proofRows(): Array<{file: string; name: string}> {
 	const rows = read('docs/PROOFS.md').matchAll(
-		/`((?:tests|src|platform)\/[^`]+\.test\.ts)`: "([^"]+)"/gv,
+		/`((?:tests|src|platform|bench)\/[^`]+\.test\.ts)`: "([^"]+)"/gv,
 	);
 	return [...rows].map((row) => ({file: row[1]!, name: row[2]!}));
 }
