Log the rate limit and the leaving that a backend server names in its answers

Adds events 211 to 213, a gauge of the limit and a counter of the requests sent. No decision uses them yet.

--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -11,7 +11,12 @@
 	type AttemptResult,
 } from '../exchange/index.js';
 import {concatBytes} from '../util/index.js';
-import {AnswerKind, type BackendLoad, type BackendProtocol} from './backend-protocol.js';
+import {
+	AnswerKind,
+	type BackendLoad,
+	type BackendNotice,
+	type BackendProtocol,
+} from './backend-protocol.js';
 import {hasHeader, stripHeaders} from './headers.js';
 import type {ResetWatch} from './reset-watch.js';
 
@@ -32,6 +37,8 @@
 export interface BackendCallListener {
 	/** Called when an answer reports the load of the backend server. */
 	onLoad(load: BackendLoad): void;
+	/** Called with each answer, ahead of `onLoad`, unless another backend server sent it. */
+	onNotice(notice: BackendNotice): void;
 	/** Called once, when the answer is complete or can no longer be completed. */
 	onEnd(end: BackendCallEnd): void;
 }
@@ -112,6 +119,10 @@
 			return;
 		}
 
+		if (this.answerKind !== AnswerKind.OtherInstance) {
+			this.deps.listener.onNotice(this.deps.protocol.readNotice(this.headers));
+		}
+
 		const load = this.deps.protocol.readLoad(this.headers);
 		if (load) {
 			this.deps.listener.onLoad(load);
--- a/src/executor/backend-protocol.ts
+++ b/src/executor/backend-protocol.ts
@@ -1,7 +1,7 @@
 import type {HeaderList} from '../call/index.js';
 import type {Millis} from '../clock/index.js';
 import type {Attempt} from '../exchange/index.js';
-import {hasHeader} from './headers.js';
+import {hasHeader, headerValue} from './headers.js';
 
 /** Classification of a response by its head. */
 export enum AnswerKind {
@@ -30,6 +30,14 @@
 	readonly slowdown: number;
 }
 
+/** What a backend server says of itself in an answer, besides its load. */
+export interface BackendNotice {
+	/** Calls per second that it takes from all nodes together; undefined if it names no limit. */
+	readonly rateLimit: number | undefined;
+	/** Whether it leaves and takes no further calls. */
+	readonly isLeaving: boolean;
+}
+
 /** Writes and reads the headers exchanged between the node and its backend server. */
 export interface BackendProtocol {
 	/**
@@ -55,6 +63,11 @@
 	 * @returns the reported load; undefined if the headers report none.
 	 */
 	readLoad(headers: HeaderList): BackendLoad | undefined;
+	/**
+	 * @param headers - headers of an answer.
+	 * @returns what the backend server says of itself; a malformed value counts as missing.
+	 */
+	readNotice(headers: HeaderList): BackendNotice;
 }
 
 const refusedStatus = 503;
@@ -62,6 +75,21 @@
 /** With status 503, marks a request that the backend server refused before doing any work. */
 export const refusedBeforeWorkHeader = 'turmeric-refused';
 
+/** Calls per second that the backend server takes from all nodes together. */
+export const rateLimitHeader = 'turmeric-rate-limit';
+
+/** Present when the backend server leaves. */
+export const leavingHeader = 'turmeric-leaving';
+
+/**
+ * @param text - value of a header with a rate; undefined when the header is missing.
+ * @returns the rate; undefined when the header is missing or not a number of at least 0.
+ */
+export function parseRate(text: string | undefined): number | undefined {
+	const rate = text === undefined || text.trim() === '' ? Number.NaN : Number(text);
+	return Number.isFinite(rate) && rate >= 0 ? rate : undefined;
+}
+
 /** Turmeric's own protocol between a node and its backend server. */
 export class TurmericBackendProtocol implements BackendProtocol {
 	requestHeaders(attempt: Attempt): HeaderList {
@@ -80,4 +108,11 @@
 	readLoad(): BackendLoad | undefined {
 		return undefined;
 	}
+
+	readNotice(headers: HeaderList): BackendNotice {
+		return {
+			rateLimit: parseRate(headerValue(headers, rateLimitHeader)),
+			isLeaving: hasHeader(headers, leavingHeader),
+		};
+	}
 }
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -27,6 +27,7 @@
 import {withResolvers} from '../util/index.js';
 import type {BackendCallEnd} from './backend-call.js';
 import type {BackendSender, BackendTarget} from './backend-client.js';
+import type {BackendNotice} from './backend-protocol.js';
 
 /** Holds back requests that have crashed backend servers. */
 export interface CrashWatch {
@@ -67,7 +68,13 @@
 	probeSpeed(): Promise<void>;
 }
 
-type Target = {sender: BackendSender; service: string; instance: string};
+type Target = {
+	readonly sender: BackendSender;
+	readonly service: string;
+	readonly instance: string;
+	rateLimit: number | undefined;
+	isLeaving: boolean;
+};
 type RunningAttempt = {
 	request: AdmissionRequest;
 	startedAt: Millis;
@@ -76,6 +83,8 @@
 	isSaturated: boolean;
 };
 
+/** Value of the metric while the backend server names no limit. */
+const noRateLimit = -1;
 const sweepInterval: Millis = 20;
 const expiryInterval: Millis = 1000;
 /** Maximum age of a speed sample for a call that is not idempotent, as it cannot be hedged elsewhere. */
@@ -115,6 +124,7 @@
 
 	constructor(private readonly deps: ExecutorDependencies) {
 		this.admission = new Admission(deps.clock, this.limits, deps.disabled);
+		deps.metrics.rateLimit.set(noRateLimit);
 		deps.clock.repeat(expiryInterval, () => {
 			this.ledger.expire(deps.clock.now());
 		});
@@ -147,7 +157,8 @@
 	 */
 	attach(backend: BackendTarget, service: string): void {
 		const sender = this.deps.createSender(backend);
-		this.target = {sender, service, instance: backend.instance};
+		const {instance} = backend;
+		this.target = {sender, service, instance, rateLimit: undefined, isLeaving: false};
 		this.isDraining = false;
 	}
 
@@ -377,6 +388,9 @@
 				onLoad: (load) => {
 					this.readSpeed(load.slowdown);
 				},
+				onNotice: (notice) => {
+					this.recordNotice(target, notice);
+				},
 				onEnd: (end) => {
 					this.end(attempt, end);
 				},
@@ -400,7 +414,12 @@
 			return RefusalReason.Held;
 		}
 
-		return this.ledger.markRan(attempt.id) ? undefined : RefusalReason.Fenced;
+		if (!this.ledger.markRan(attempt.id)) {
+			return RefusalReason.Fenced;
+		}
+
+		this.deps.metrics.backendRequests.inc();
+		return undefined;
 	}
 
 	// A change between full and free is broadcast; other changes reach callers with the load in answers.
@@ -449,6 +468,25 @@
 		this.reportIfFullOrFree();
 	}
 
+	private recordNotice(target: Target, {rateLimit, isLeaving}: BackendNotice): void {
+		const {logger, metrics} = this.deps;
+		const {instance} = target;
+		if (isLeaving && !target.isLeaving) {
+			target.isLeaving = true;
+			logger.log(logEvents.backendLeaving, {instance, running: this.inFlight.size});
+		}
+
+		const previous = target.rateLimit;
+		target.rateLimit = rateLimit;
+		if (rateLimit === undefined && previous !== undefined) {
+			logger.log(logEvents.backendLimitLifted, {instance, previous});
+		} else if (rateLimit !== undefined && rateLimit !== previous) {
+			logger.log(logEvents.backendLimited, {instance, limit: rateLimit, previous});
+		}
+
+		metrics.rateLimit.set(rateLimit ?? noRateLimit);
+	}
+
 	private recordRun(attempt: Attempt, running: RunningAttempt, isFailure: boolean): void {
 		const isComplete = !isFailure && !attempt.cancellation.isCanceled;
 		const slowdown = Math.max(running.slowdown, this.warmUpSlowdown);
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -67,6 +67,24 @@
 		info,
 		'A restarted node ignores an announcement until a later one or the health path confirms it.',
 	),
+	backendLimited: event(
+		211,
+		'backend-limited',
+		info,
+		'The backend server has named another rate limit.',
+	),
+	backendLimitLifted: event(
+		212,
+		'backend-limit-lifted',
+		info,
+		'The backend server no longer names a rate limit.',
+	),
+	backendLeaving: event(
+		213,
+		'backend-leaving',
+		info,
+		'The backend server says in an answer that it leaves.',
+	),
 	callEnded: event(800, 'call-ended', info, 'A call has ended at its ingress.'),
 	callRetried: event(801, 'call-retried', info, 'A call gets a further attempt.'),
 	callHedged: event(
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -99,6 +99,18 @@
 		registers: [this.registry],
 	});
 
+	readonly backendRequests = new Counter({
+		name: 'turmeric_backend_requests_total',
+		help: 'Requests that this node has sent to its backend server, without health probes.',
+		registers: [this.registry],
+	});
+
+	readonly rateLimit = new Gauge({
+		name: 'turmeric_backend_rate_limit',
+		help: 'Requests per second that the backend server takes; -1 if it names no limit.',
+		registers: [this.registry],
+	});
+
 	readonly inFlight = new Gauge({
 		name: 'turmeric_calls_in_flight',
 		help: 'Calls that this ingress has not answered yet.',
