--- a/scaffold/mesh/mesh-backend.ts
+++ b/scaffold/mesh/mesh-backend.ts
@@ -38,6 +38,8 @@
 	work = 5;
 	state = 'ready';
 	isHealthy = true;
+	/** Headers that it adds to all its answers. */
+	notices: Readonly<Record<string, string>> = {};
 	private sequence = 0;
 	private timer: ReturnType<typeof setInterval> | undefined;
 	private readonly sockets = new Set<Socket>();
@@ -119,7 +121,7 @@
 
 	private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {instance} = this.identity;
-		const load = {'x-server-load': '0,0,4,100', 'x-instance-id': instance};
+		const load = {'x-server-load': '0,0,4,100', 'x-instance-id': instance, ...this.notices};
 		if (req.url === '/health') {
 			res.writeHead(this.isHealthy ? 200 : 503, load).end();
 			return;
