Keep the rate limit that a backend server names in its answers

Callers noticed nothing.

Cause: nothing read the limit; the only bound of an executor was slots, and a rate and a number of slots are different things. Class: a bound that the other side states is not part of the protocol.

Change: all requests of a backend server pass the executor beside it, so the limit is kept there and needs no agreement between nodes, also while some are cut off. RateLimit (a token bucket of half a second) is part of the admission: starts, queue times and refusals follow it. A restarted node reads it from the health answer before its first call. A limit ends with the answer to a request that was sent after it was last named, as answers overtake each other. Load reports carry the limit and the time until the next start, so ingresses go elsewhere; earlier builds ignore both, and read the new refusal reason rate-limited as busy. An idle limited backend server is probed once a second.

--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -1,9 +1,10 @@
 import {RefusalReason, type LoadReport} from '../call/index.js';
-import type {Clock, Millis} from '../clock/index.js';
+import {minute, second, type Clock, type Millis} from '../clock/index.js';
 import {Mechanism, noneDisabled, type DisabledMechanisms} from '../experiment/index.js';
 import {invariant} from '../util/index.js';
 import {LateCapacity} from './late-capacity.js';
 import {canMeetObjective, compareUrgency, latestStart, type Urgency} from './queue-order.js';
+import {RateLimit} from './rate-limit.js';
 import {ServiceTime} from './service-time.js';
 
 /** A request for a slot at the backend server. Either `start` or `refuse` is called, once, unless it is withdrawn first. */
@@ -34,11 +35,13 @@
 
 /** Duration of a short run relative to the mean: run times vary by about 30 % around it. */
 const shortRunFactor = 0.7;
+/** Upper bound of a reported waiting time; longer than any call waits. */
+const maxReportedWait: Millis = minute;
 
 type Usage = {running: number; queued: number; share: number};
 
 /**
- * Controls admission to the slots of the backend server. New calls never start beyond the slot limit.
+ * Controls admission to the slots of the backend server. New calls never start beyond the slot limit and the rate limit.
  * Queued calls are dispatched by fair shares between customers and by urgency within a customer. A
  * call that cannot be served in time is refused at once.
  */
@@ -55,6 +58,7 @@
 		private readonly clock: Pick<Clock, 'now'>,
 		private limits: AdmissionLimits,
 		private readonly disabled: DisabledMechanisms = noneDisabled,
+		private readonly rateLimit = new RateLimit(clock),
 	) {}
 
 	get inFlight(): number {
@@ -81,7 +85,7 @@
 		const reason = this.refusalFor(request);
 		if (reason !== undefined) {
 			request.refuse(reason);
-		} else if (this.running.size < this.limits.slots && this.mayStart(request)) {
+		} else if (this.isOpen && this.mayStart(request)) {
 			this.startRequest(request);
 		} else {
 			this.enqueue(request);
@@ -154,7 +158,7 @@
 	/** Starts queued calls while slots are free; also called when the backend server is fast again. */
 	dispatch(): void {
 		this.sweep();
-		while (this.running.size < this.limits.slots) {
+		while (this.isOpen) {
 			const request = this.nextRequest();
 			if (!request) {
 				return;
@@ -173,9 +177,25 @@
 			slots: this.limits.slots,
 			serviceTime: this.currentServiceTime(),
 			failureShare: this.serviceTime.failureShare,
+			...this.reportRate(),
 		};
 	}
 
+	// Whether another call may start: a slot is free and the rate limit is not used up.
+	private get isOpen(): boolean {
+		return this.running.size < this.limits.slots && this.rateLimit.untilStart() === 0;
+	}
+
+	private reportRate(): Pick<LoadReport, 'rateLimit' | 'untilStart'> {
+		const {rate} = this.rateLimit;
+		if (rate === undefined) {
+			return {};
+		}
+
+		const untilStart = this.rateLimit.untilStart(this.queue.length);
+		return {rateLimit: rate, untilStart: Math.min(untilStart, maxReportedWait)};
+	}
+
 	// Queued calls that have become late because no slot was free.
 	private recordMisses(now: Millis): void {
 		for (const request of this.queuedInTime) {
@@ -209,13 +229,13 @@
 			return RefusalReason.DeadlinePassed;
 		}
 
-		const isFull = this.running.size >= this.limits.slots;
+		const isFull = !this.isOpen;
 		if (!isFull && this.mayStart(request)) {
 			return undefined;
 		}
 
 		if (request.canRetryElsewhere && (isFull || isDelayed(request))) {
-			return isFull ? RefusalReason.Busy : RefusalReason.BackendSlow;
+			return isFull ? this.fullReason : RefusalReason.BackendSlow;
 		}
 
 		if (this.hasUsedShare(request, request)) {
@@ -239,6 +259,11 @@
 		return this.makeRoomFor(request) ? undefined : RefusalReason.QueueFull;
 	}
 
+	private get fullReason(): RefusalReason {
+		const hasSlot = this.running.size < this.limits.slots;
+		return hasSlot ? RefusalReason.RateLimited : RefusalReason.Busy;
+	}
+
 	private willBeLate(request: AdmissionRequest): boolean {
 		const wait = this.predictedTime(request) - this.currentServiceTime();
 		return !canMeetObjective(request, this.clock.now() + wait);
@@ -262,8 +287,7 @@
 		}
 
 		const serviceTime = this.currentServiceTime();
-		const spareSlots = Math.max(1, this.limits.slots) * this.lateCapacity.share;
-		const wait = ((lateBefore + 1) / spareSlots) * serviceTime;
+		const wait = ((lateBefore + 1) / this.lateCapacity.share) * this.startInterval();
 		return wait + serviceTime <= request.deadline.timeLeft(this.clock.now());
 	}
 
@@ -321,7 +345,16 @@
 		const current = this.currentServiceTime();
 		const serviceTime = this.serviceTime.isKnown ? current : Math.max(current, request.work);
 		const delay = request.startDelay?.() ?? 0;
-		return delay + (positions / Math.max(1, this.limits.slots)) * serviceTime + serviceTime;
+		const slotWait = (positions / Math.max(1, this.limits.slots)) * serviceTime;
+		const rateWait = this.rateLimit.untilStart(Math.min(position, fairPosition) - 1);
+		return delay + Math.max(slotWait, rateWait) + serviceTime;
+	}
+
+	// Mean time between two starts while calls are queued.
+	private startInterval(): Millis {
+		const {rate} = this.rateLimit;
+		const slotInterval = this.currentServiceTime() / Math.max(1, this.limits.slots);
+		return rate === undefined ? slotInterval : Math.max(slotInterval, second / rate);
 	}
 
 	// Calls in progress that already exceed the average reveal a slow backend server before they end.
@@ -359,6 +392,7 @@
 		this.lateCapacity.recordStart(this.isOpenToLate(now) && !isInTimeWaiting);
 		this.running.set(request, now);
 		this.usageOf(request).running += 1;
+		this.rateLimit.recordStart();
 		request.start();
 	}
 
@@ -386,7 +420,7 @@
 		}
 
 		starts.sort((a, b) => a - b);
-		const startInterval = this.currentServiceTime() / Math.max(1, this.limits.slots);
+		const startInterval = this.startInterval();
 		return starts.some((latest, index) => now + index * startInterval > latest);
 	}
 
--- a/src/budget/token-bucket.ts
+++ b/src/budget/token-bucket.ts
@@ -11,8 +11,10 @@
 		private rate: number,
 		/** Burst capacity, in seconds of the rate. */
 		private readonly burstSeconds = 1,
+		/** Least burst capacity, in tokens. */
+		private readonly minBurst = 0,
 	) {
-		this.tokens = rate * burstSeconds;
+		this.tokens = this.capacity;
 		this.at = clock.now();
 	}
 
@@ -28,7 +30,7 @@
 	setRate(rate: number): void {
 		this.refill();
 		this.rate = rate;
-		this.tokens = Math.min(this.tokens, rate * this.burstSeconds);
+		this.tokens = Math.min(this.tokens, this.capacity);
 	}
 
 	/**
@@ -54,10 +56,14 @@
 		return true;
 	}
 
+	private get capacity(): number {
+		return Math.max(this.minBurst, this.rate * this.burstSeconds);
+	}
+
 	private refill(): void {
 		const now = this.clock.now();
 		const earned = ((now - this.at) / second) * this.rate;
-		this.tokens = Math.min(this.rate * this.burstSeconds, this.tokens + earned);
+		this.tokens = Math.min(this.capacity, this.tokens + earned);
 		this.at = now;
 	}
 }
--- a/src/call/load-report.ts
+++ b/src/call/load-report.ts
@@ -14,4 +14,8 @@
 	readonly failureShare: number;
 	/** Current duration of work relative to its usual duration; 1 is usual. */
 	readonly slowdown: number;
+	/** Calls per second that the backend server takes; undefined if it names no limit. */
+	readonly rateLimit?: number | undefined;
+	/** Time until another call can start under the rate limit, in ms; undefined if there is no limit. */
+	readonly untilStart?: Millis | undefined;
 }
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -1,6 +1,7 @@
 import {
 	Admission,
 	BackendSpeed,
+	RateLimit,
 	Saturation,
 	shouldDelayStart,
 	type AdmissionLimits,
@@ -72,7 +73,6 @@
 	readonly sender: BackendSender;
 	readonly service: string;
 	readonly instance: string;
-	rateLimit: number | undefined;
 	isLeaving: boolean;
 };
 type RunningAttempt = {
@@ -116,6 +116,9 @@
 	private limits: AdmissionLimits = {slots: 1, queue: 0};
 	private readonly inFlight = new Map<Attempt, RunningAttempt>();
 	private target: Target | undefined;
+	private readonly rateLimit: RateLimit;
+	/** Backend server that the rate limit applies to; it may be detached for a while. */
+	private limitedInstance: string | undefined;
 	private isDraining = false;
 	private isSweeping = false;
 	private isReportedFull = false;
@@ -123,7 +126,8 @@
 	private warmUpSlowdown = 1;
 
 	constructor(private readonly deps: ExecutorDependencies) {
-		this.admission = new Admission(deps.clock, this.limits, deps.disabled);
+		this.rateLimit = new RateLimit(deps.clock);
+		this.admission = new Admission(deps.clock, this.limits, deps.disabled, this.rateLimit);
 		deps.metrics.rateLimit.set(noRateLimit);
 		deps.clock.repeat(expiryInterval, () => {
 			this.ledger.expire(deps.clock.now());
@@ -145,6 +149,11 @@
 		return this.deps.clock.now() - this.lastRequestAt;
 	}
 
+	/** Whether the backend server names a rate limit. */
+	get isLimited(): boolean {
+		return this.rateLimit.rate !== undefined;
+	}
+
 	/** Service of the backend server; undefined while there is none. */
 	get service(): string | undefined {
 		return this.target?.service;
@@ -158,7 +167,12 @@
 	attach(backend: BackendTarget, service: string): void {
 		const sender = this.deps.createSender(backend);
 		const {instance} = backend;
-		this.target = {sender, service, instance, rateLimit: undefined, isLeaving: false};
+		if (instance !== this.limitedInstance) {
+			this.limitedInstance = instance;
+			this.rateLimit.lift();
+		}
+
+		this.target = {sender, service, instance, isLeaving: false};
 		this.isDraining = false;
 	}
 
@@ -237,6 +251,29 @@
 		}
 	}
 
+	/**
+	 * Records what the backend server says of itself.
+	 * @param instance - instance that has answered.
+	 * @param notice - the notice in its answer.
+	 * @param sentAt - monotonic time in ms at which the request was sent.
+	 */
+	readNotice(instance: string, notice: BackendNotice, sentAt: Millis): void {
+		const {target} = this;
+		if (target?.instance !== instance) {
+			return;
+		}
+
+		if (notice.isLeaving && !target.isLeaving) {
+			target.isLeaving = true;
+			this.deps.logger.log(logEvents.backendLeaving, {instance, running: this.inFlight.size});
+		}
+
+		const previous = this.rateLimit.rate;
+		if (this.rateLimit.recordAnswer(notice.rateLimit, sentAt)) {
+			this.applyRateLimit(instance, previous);
+		}
+	}
+
 	async run(attempt: Attempt): Promise<AttemptResult> {
 		this.lastRequestAt = this.deps.clock.now();
 		const result = await this.admit(attempt);
@@ -389,7 +426,7 @@
 					this.readSpeed(load.slowdown);
 				},
 				onNotice: (notice) => {
-					this.recordNotice(target, notice);
+					this.readNotice(target.instance, notice, now);
 				},
 				onEnd: (end) => {
 					this.end(attempt, end);
@@ -468,23 +505,18 @@
 		this.reportIfFullOrFree();
 	}
 
-	private recordNotice(target: Target, {rateLimit, isLeaving}: BackendNotice): void {
+	private applyRateLimit(instance: string, previous: number | undefined): void {
 		const {logger, metrics} = this.deps;
-		const {instance} = target;
-		if (isLeaving && !target.isLeaving) {
-			target.isLeaving = true;
-			logger.log(logEvents.backendLeaving, {instance, running: this.inFlight.size});
-		}
-
-		const previous = target.rateLimit;
-		target.rateLimit = rateLimit;
-		if (rateLimit === undefined && previous !== undefined) {
+		const {rate} = this.rateLimit;
+		metrics.rateLimit.set(rate ?? noRateLimit);
+		if (rate === undefined) {
 			logger.log(logEvents.backendLimitLifted, {instance, previous});
-		} else if (rateLimit !== undefined && rateLimit !== previous) {
-			logger.log(logEvents.backendLimited, {instance, limit: rateLimit, previous});
+			this.admission.dispatch();
+		} else {
+			logger.log(logEvents.backendLimited, {instance, limit: rate, previous});
 		}
 
-		metrics.rateLimit.set(rateLimit ?? noRateLimit);
+		this.deps.onLoadChanged();
 	}
 
 	private recordRun(attempt: Attempt, running: RunningAttempt, isFailure: boolean): void {
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -78,6 +78,12 @@
 	RefusalReason.BackendRefused,
 	RefusalReason.BackendReplaced,
 ]);
+/** Refusals after which a call goes to another executor or queues, as nothing reached the backend server. */
+const busyReasons: ReadonlySet<RefusalReason> = new Set([
+	RefusalReason.Busy,
+	RefusalReason.BackendSlow,
+	RefusalReason.RateLimited,
+]);
 /** After this many refusals by busy executors, a call queues at the executor that it is sent to. */
 const maxBusyRefusals = 2;
 /** A request that was in flight when two backend servers crashed is not sent to a third one. */
@@ -438,7 +444,7 @@
 			return false;
 		}
 
-		if (reason === RefusalReason.Busy || reason === RefusalReason.BackendSlow) {
+		if (busyReasons.has(reason)) {
 			progress.busyRefusals += 1;
 			if (progress.busyRefusals >= maxBusyRefusals) {
 				// The next attempt queues where it is sent, so all executors are eligible again.
--- a/src/link/__tests__/unit/frame-codec.test.ts
+++ b/src/link/__tests__/unit/frame-codec.test.ts
@@ -1,4 +1,5 @@
 import fc from 'fast-check';
+import {pack, unpack} from 'msgpackr';
 import {describe, expect, it} from 'vitest';
 import {AttemptState, RefusalReason} from '../../../call/index.js';
 import {
@@ -45,6 +46,12 @@
 	{type: FrameType.Credit, stream: 2, bytes: 100},
 	{type: FrameType.End, stream: 2, trailers: ['a', 'b']},
 	{type: FrameType.Refused, stream: 2, reason: RefusalReason.Draining, load},
+	{
+		type: FrameType.Refused,
+		stream: 2,
+		reason: RefusalReason.RateLimited,
+		load: {...load, rateLimit: 4.5, untilStart: 120},
+	},
 	{type: FrameType.Failed, stream: 2, reason: RefusalReason.BackendLost},
 	{type: FrameType.Cancel, stream: 2},
 	{type: FrameType.AttemptQuery, correlationId: 1, sequence: 9},
@@ -62,6 +69,17 @@
 		expect(decodeFrame(encodeFrame(frame))).toEqual(frame);
 	});
 
+	it('encodes a refusal by a rate limit as busy for builds that do not know the reason', () => {
+		const reason = RefusalReason.RateLimited;
+		const bytes = encodeFrame({type: FrameType.Refused, stream: 2, reason, load: undefined});
+		const fields = unpack(bytes) as unknown[];
+		expect(fields).toEqual([FrameType.Refused, 2, RefusalReason.Busy, undefined, reason]);
+		expect(decodeFrame(pack(fields.slice(0, 4)))).toMatchObject({reason: RefusalReason.Busy});
+		expect(decodeFrame(pack([...fields.slice(0, 4), 'later']))).toMatchObject({
+			reason: RefusalReason.Busy,
+		});
+	});
+
 	it('preserves the bytes of a Data frame', () => {
 		const bytes = Uint8Array.from([1, 2, 3]);
 		const frame = decodeFrame(encodeFrame({type: FrameType.Data, stream: 4, bytes}));
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -6,7 +6,7 @@
 	type LoadReport,
 	type RequestOrigin,
 } from '../call/index.js';
-import {FrameType, OpenTarget, type Frame} from './frame.js';
+import {FrameType, OpenTarget, type Frame, type RefusedFrame} from './frame.js';
 
 /** The bytes are not a valid frame of this protocol. */
 export class FrameDecodeError extends Error {
@@ -15,6 +15,10 @@
 
 const packr = new Packr({useRecords: false});
 const reasons = new Set<string>(Object.values(RefusalReason));
+/** Reasons that earlier builds cannot decode, with the reason that these read instead. */
+const earlierReasons: Readonly<Partial<Record<RefusalReason, RefusalReason>>> = {
+	[RefusalReason.RateLimited]: RefusalReason.Busy,
+};
 const attemptStates = [
 	AttemptState.Fenced,
 	AttemptState.Admitted,
@@ -33,8 +37,16 @@
 		return undefined;
 	}
 
-	const {inFlight, queued, slots, serviceTime, failureShare, slowdown} = load;
-	return [inFlight, queued, slots, round(serviceTime), round(failureShare), round(slowdown)];
+	const {inFlight, queued, slots, serviceTime, failureShare, slowdown, rateLimit} = load;
+	const times = [round(serviceTime), round(failureShare), round(slowdown)];
+	const rates = rateLimit === undefined ? [] : [round(rateLimit), round(load.untilStart ?? 0)];
+	return [inFlight, queued, slots, ...times, ...rates];
+}
+
+function packRefused({type, stream, reason, load}: RefusedFrame): readonly unknown[] {
+	const known = earlierReasons[reason];
+	const fields = [type, stream, known ?? reason, packLoad(load)];
+	return known === undefined ? fields : [...fields, reason];
 }
 
 function packOrigin(origin: RequestOrigin): readonly unknown[] {
@@ -98,7 +110,7 @@
 		}
 
 		case FrameType.Refused: {
-			return [type, frame.stream, frame.reason, packLoad(frame.load)];
+			return packRefused(frame);
 		}
 
 		case FrameType.Failed: {
@@ -172,6 +184,10 @@
 		return value;
 	}
 
+	optionalNumber(): number | undefined {
+		return this.optional(() => this.number());
+	}
+
 	flag(): boolean {
 		const value = this.take();
 		if (typeof value !== 'boolean') {
@@ -221,6 +237,13 @@
 		return value;
 	}
 
+	refusal(): {reason: RefusalReason; load: LoadReport | undefined} {
+		const reason = this.reason();
+		const load = this.optionalLoad();
+		const precise = this.optionalText();
+		return {reason: precise !== undefined && isReason(precise) ? precise : reason, load};
+	}
+
 	load(): LoadReport {
 		const fields = new FieldReader(this.list());
 		return {
@@ -230,6 +253,8 @@
 			serviceTime: fields.number(),
 			failureShare: fields.number(),
 			slowdown: fields.number(),
+			rateLimit: fields.optionalNumber(),
+			untilStart: fields.optionalNumber(),
 		};
 	}
 
@@ -361,8 +386,7 @@
 	[FrameType.Refused]: (fields) => ({
 		type: FrameType.Refused,
 		stream: fields.number(),
-		reason: fields.reason(),
-		load: fields.optionalLoad(),
+		...fields.refusal(),
 	}),
 	[FrameType.Failed]: (fields) => ({
 		type: FrameType.Failed,
--- a/src/node/backend-finder.ts
+++ b/src/node/backend-finder.ts
@@ -6,6 +6,7 @@
 import {logEvents, type Logger} from '../telemetry/index.js';
 import {AnnouncedState} from './announcement.js';
 import type {BackendMonitor} from './backend-monitor.js';
+import type {ProbedExecutor} from './backend-probe.js';
 import {toHeaderList} from './header-list.js';
 
 /** Collaborators of {@link BackendFinder}. */
@@ -14,6 +15,8 @@
 	readonly logger: Logger;
 	readonly revisions: RevisionTracker;
 	readonly backend: BackendMonitor;
+	/** Receives what the backend server says of itself. */
+	readonly executor: Pick<ProbedExecutor, 'readNotice'>;
 	readonly protocol: BackendProtocol;
 	/** Address and port of the backend server according to the settings. */
 	readonly endpoint: Endpoint;
@@ -53,12 +56,13 @@
 	}
 
 	private async queryHealth(): Promise<void> {
-		const {revisions, service, endpoint, backend, protocol, logger} = this.deps;
+		const {clock, revisions, service, endpoint, backend, executor, protocol, logger} = this.deps;
 		const path = revisions.inForce?.service(service)?.healthPath;
 		if (path === undefined || backend.hasAnnounced) {
 			return;
 		}
 
+		const sentAt = clock.now();
 		try {
 			const res = await this.agent.request({
 				origin: `http://${formatEndpoint(endpoint)}`,
@@ -88,6 +92,7 @@
 					sequence: undefined,
 					warmUpLeft: 0,
 				});
+				executor.readNotice(instance, protocol.readNotice(headers), sentAt);
 			}
 		} catch (err) {
 			logger.log(logEvents.backendNotFound, {error: String(err)});
--- a/src/node/backend-probe.ts
+++ b/src/node/backend-probe.ts
@@ -2,7 +2,7 @@
 import {TokenBucket} from '../budget/index.js';
 import {second, type Clock, type Millis} from '../clock/index.js';
 import type {RevisionTracker} from '../declaration/index.js';
-import type {BackendProtocol} from '../executor/index.js';
+import type {BackendNotice, BackendProtocol} from '../executor/index.js';
 import {formatEndpoint} from '../settings/index.js';
 import type {Metrics} from '../telemetry/index.js';
 import {pause} from '../util/index.js';
@@ -27,11 +27,20 @@
 	readonly speedAge: Millis;
 	/** Time since the last request to run a call here, in ms. */
 	readonly idleTime: Millis;
+	/** Whether the backend server names a rate limit. */
+	readonly isLimited: boolean;
 	/**
 	 * Records a speed reading.
 	 * @param slowdown - factor by which a call takes longer than usual.
 	 */
 	readSpeed(slowdown: number): void;
+	/**
+	 * Records what the backend server says of itself.
+	 * @param instance - instance that has answered.
+	 * @param notice - the notice in its answer.
+	 * @param sentAt - monotonic time in ms at which the request was sent.
+	 */
+	readNotice(instance: string, notice: BackendNotice, sentAt: Millis): void;
 }
 
 /** Collaborators of {@link BackendProbe}. */
@@ -50,6 +59,8 @@
 const probeWaitLimit: Millis = 12;
 /** Probe time that can be saved up, in seconds of the rate. */
 const budgetDepth = 10;
+/** Interval at which an idle backend server is asked whether it still names a rate limit. */
+const limitCheckPeriod: Millis = second;
 /** How long calls trigger no probe after one that failed or reported no speed. */
 const suppressionTime: Millis = second;
 
@@ -91,7 +102,7 @@
 		this.budget = new TokenBucket(deps.clock, deps.rate.defaultBudget, budgetDepth);
 	}
 
-	/** Starts the schedule; it pauses after `idleTimeout` without calls, and the next call resumes it. */
+	/** Starts the schedule; it pauses after `idleTimeout` without calls or a rate limit, and the next call resumes it. */
 	start(): void {
 		this.scheduleNext();
 	}
@@ -120,14 +131,14 @@
 		}
 
 		this.isScheduled = true;
-		const untilDue = rate.maxSpeedAge === undefined ? 0 : rate.maxSpeedAge - executor.speedAge;
-		clock.after(Math.max(rate.period, untilDue), () => {
+		clock.after(this.nextDelay(), () => {
 			this.isScheduled = false;
-			if (executor.idleTime > rate.idleTimeout) {
+			const isIdle = executor.idleTime > rate.idleTimeout;
+			if (isIdle && !executor.isLimited) {
 				return;
 			}
 
-			if (!this.pending && isProbeDue(rate, executor)) {
+			if (!this.pending && (isIdle || isProbeDue(rate, executor))) {
 				void this.probeNow();
 			}
 
@@ -135,6 +146,17 @@
 		});
 	}
 
+	// Without calls, only a probe can show that a rate limit is lifted.
+	private nextDelay(): Millis {
+		const {rate, executor} = this.deps;
+		if (executor.isLimited && executor.idleTime > rate.idleTimeout) {
+			return limitCheckPeriod;
+		}
+
+		const untilDue = rate.maxSpeedAge === undefined ? 0 : rate.maxSpeedAge - executor.speedAge;
+		return Math.max(rate.period, untilDue);
+	}
+
 	private async probe(): Promise<void> {
 		const {backend, clock, revisions, metrics, rate, protocol, executor} = this.deps;
 		const target = backend.current;
@@ -158,7 +180,10 @@
 				signal: AbortSignal.timeout(probeTimeout),
 			});
 			await res.body.dump();
-			const load = protocol.readLoad(toHeaderList(res.headers));
+			const headers = toHeaderList(res.headers);
+			const instance = protocol.readInstance(headers) ?? target.instance;
+			executor.readNotice(instance, protocol.readNotice(headers), startedAt);
+			const load = protocol.readLoad(headers);
 			if (load) {
 				executor.readSpeed(load.slowdown);
 			} else {
--- a/src/routing/__tests__/unit/objective-placement.test.ts
+++ b/src/routing/__tests__/unit/objective-placement.test.ts
@@ -60,6 +60,17 @@
 		expect(placement.choose(createQuery())).toBe(near);
 	});
 
+	it('leaves an executor whose rate limit is used up until a call can start there again', () => {
+		const {placement, clock, near, zone} = createFixture();
+		placement.recordLoad('near', {...usual, rateLimit: 2, untilStart: 400});
+		placement.recordLoad('zone', usual);
+		expect(placement.choose(createQuery())).toBe(zone);
+		clock.advance(400);
+		expect(placement.choose(createQuery())).toBe(near);
+		placement.recordSent(createQuery(), near);
+		expect(placement.choose(createQuery())).toBe(zone);
+	});
+
 	it('uses another region for an urgent request but not for one of low priority', () => {
 		const {placement, region} = createFixture();
 		for (const id of ['near', 'zone']) {
--- a/src/routing/expected-time.ts
+++ b/src/routing/expected-time.ts
@@ -11,6 +11,8 @@
 	readonly slots: number;
 	/** Network round-trip time, in ms. */
 	readonly roundTrip: Millis;
+	/** Time until the rate limit of the backend server lets another call start, in ms. */
+	readonly rateWait: Millis;
 }
 
 /** Mean remaining time of a slow period; slow periods last about half a second on shared hosts. */
@@ -26,12 +28,12 @@
  * slow period where that is faster.
  */
 export function expectedTime(input: ExpectedTimeInput): Millis {
-	const {work, slowdown, load, slots, roundTrip} = input;
+	const {work, slowdown, load, slots, roundTrip, rateWait} = input;
 	const isSaturated = load + 1 > Math.max(1, slots * saturatedShare);
 	const run =
 		Math.min(work * slowdown, slowPeriodLeft + work) * (isSaturated ? saturatedSlowdown : 1);
 	const ahead = Math.max(0, load + 1 - slots);
-	return roundTrip + run + (ahead / slots) * run;
+	return roundTrip + run + Math.max((ahead / slots) * run, rateWait);
 }
 
 /** Input of the expected loss of an answer's value. */
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -1,5 +1,5 @@
 import {RefusalReason, type LoadReport} from '../call/index.js';
-import type {Clock, Millis} from '../clock/index.js';
+import {minute, second, type Clock, type Millis} from '../clock/index.js';
 import {Mechanism, type DisabledMechanisms} from '../experiment/index.js';
 import {
 	Distance,
@@ -90,6 +90,8 @@
 const maxExecutorWait: Millis = 400;
 const executorWaitShare = 0.3;
 const defaultSlots = 8;
+/** Upper bound of the expected wait for a rate limit; longer than any call waits. */
+const maxRateWait: Millis = minute;
 
 type Evaluation = {readonly member: Member; readonly time: Millis; readonly loss: number};
 
@@ -240,6 +242,7 @@
 			load: loadOf(view, now),
 			slots: view.load?.slots ?? (member.slots > 0 ? member.slots : defaultSlots),
 			roundTrip: roundTrips[distance],
+			rateWait: rateWaitOf(view, now),
 		});
 		const {objectiveLeft, timeLeft} = query;
 		const lateness = expectedLoss({expected: time, objectiveLeft, timeLeft});
@@ -305,6 +308,21 @@
 	return view.outstanding + others * (0.5 + 0.5 * freshness);
 }
 
+// Calls of other ingresses since the report are not known; the executor refuses those beyond the limit.
+function rateWaitOf(
+	{load, reportedAt, outstanding, outstandingAtReport}: ExecutorView,
+	now: Millis,
+) {
+	if (load?.rateLimit === undefined) {
+		return 0;
+	}
+
+	const sent = Math.max(0, outstanding - outstandingAtReport);
+	const startInterval = load.rateLimit > 0 ? second / load.rateLimit : maxRateWait;
+	const wait = (load.untilStart ?? 0) + sent * startInterval - (now - reportedAt);
+	return Math.min(maxRateWait, Math.max(0, wait));
+}
+
 function failureLoss(view: ExecutorView, now: Millis): number {
 	if (!view.load) {
 		return 0;
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -242,10 +242,10 @@
 	private findBackend(): void {
 		const {clock, logger} = this;
 		const {endpoint, service} = this.settings.backend;
-		const {revisions, backend} = this.core;
+		const {revisions, backend, executor} = this.core;
 		if (endpoint) {
 			const {backendProtocol: protocol} = this.adapters;
-			const deps = {clock, logger, revisions, backend, protocol, endpoint, service};
+			const deps = {clock, logger, revisions, backend, executor, protocol, endpoint, service};
 			new BackendFinder(deps).start();
 		}
 	}
