Drain a backend server that says in its answers that it leaves

Seen in a test: a backend server that says Server-Leaving in its answers got 30 of 60 further requests while its heartbeats still said ready. The leaving in answers can come before the one in heartbeats, and on some backend servers there is none in heartbeats.

--- a/bench/fleet/simulated-node.ts
+++ b/bench/fleet/simulated-node.ts
@@ -114,6 +114,7 @@
 				recordBroken: () => undefined,
 			},
 			onBackendUnreachable: () => undefined,
+			onBackendLeaving: () => undefined,
 			onLoadChanged: () => {
 				broadcaster.scheduleBroadcast();
 				this.recordLoad(this.member.id, this.executor.report());
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -60,6 +60,11 @@
 	createSender(backend: BackendTarget): BackendSender;
 	/** Called when the backend server accepts no connections or another one listens at its address. */
 	onBackendUnreachable(): void;
+	/**
+	 * Called once when the backend server says in an answer that it leaves.
+	 * @param instance - its instance.
+	 */
+	onBackendLeaving(instance: string): void;
 	/** Called when the load has changed enough to be broadcast to other nodes. */
 	onLoadChanged(): void;
 	/**
@@ -266,6 +271,7 @@
 		if (notice.isLeaving && !target.isLeaving) {
 			target.isLeaving = true;
 			this.deps.logger.log(logEvents.backendLeaving, {instance, running: this.inFlight.size});
+			this.deps.onBackendLeaving(instance);
 		}
 
 		const previous = this.rateLimit.rate;
--- a/src/node/__tests__/unit/backend-monitor.test.ts
+++ b/src/node/__tests__/unit/backend-monitor.test.ts
@@ -12,7 +12,7 @@
 function createFixture(isRestart = false) {
 	const clock = new ManualClock(1000);
 	const gossip = createTestGossip(clock);
-	const executor = new Executor({
+	const executor: Executor = new Executor({
 		clock,
 		metrics: new Metrics(),
 		logger: silentLogger,
@@ -23,10 +23,13 @@
 			recordBroken: () => undefined,
 		},
 		onBackendUnreachable: () => undefined,
+		onBackendLeaving(instance) {
+			monitor.handleLeaving(instance);
+		},
 		onLoadChanged: () => undefined,
 		probeSpeed: async () => undefined,
 	});
-	const monitor = new BackendMonitor({
+	const monitor: BackendMonitor = new BackendMonitor({
 		clock,
 		logger: silentLogger,
 		executor,
@@ -62,6 +65,21 @@
 const draining = {state: AnnouncedState.Draining};
 
 describe('BackendMonitor', () => {
+	it('drains a backend server that says in an answer that it leaves, whatever it announces later', () => {
+		const {monitor, executor, gossip, clock} = createFixture();
+		monitor.handleAnnouncement(createAnnouncement(5, 1));
+		const leaving = {rateLimit: undefined, isLeaving: true};
+		executor.readNotice('i-4', leaving, clock.now());
+		expect(monitor.state).toBe(BackendState.Warming);
+		executor.readNotice('i-5', leaving, clock.now());
+		expect(monitor.state).toBe(BackendState.Draining);
+		expect(gossip.localMember.phase).toBe(MemberPhase.Draining);
+		monitor.handleAnnouncement(createAnnouncement(5, 2));
+		expect(monitor.state).toBe(BackendState.Draining);
+		monitor.handleAnnouncement(createAnnouncement(6, 1));
+		expect(monitor.state).toBe(BackendState.Warming);
+	});
+
 	it('ignores a late announcement of a backend server that departed before the node restarted', () => {
 		const {monitor, executor} = createFixture(true);
 		monitor.handleAnnouncement(createAnnouncement(5, 2));
--- a/src/node/backend-monitor.ts
+++ b/src/node/backend-monitor.ts
@@ -126,6 +126,18 @@
 		}
 	}
 
+	/**
+	 * Drains the backend server because it says in an answer that it leaves.
+	 * @param instance - instance that has answered; another one than the known one is ignored.
+	 */
+	handleLeaving(instance: string): void {
+		const {announcement} = this;
+		if (announcement?.instance === instance) {
+			this.drained = announcement;
+			this.drain();
+		}
+	}
+
 	/** Factor by which a call takes longer because the backend server has just started. */
 	private get warmUpSlowdown(): number {
 		const left = this.announcement?.warmUpLeft ?? 0;
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -262,6 +262,9 @@
 			onBackendUnreachable: () => {
 				this.backend.markUnreachable();
 			},
+			onBackendLeaving: (instance) => {
+				this.backend.handleLeaving(instance);
+			},
 			probeSpeed: async () => this.hooks.probeSpeed(),
 			onLoadChanged: () => {
 				this.hooks.handleLoadChanged();
