--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -174,6 +174,22 @@
 		await fetch(`http://${this.store}/stand-in/faults`, {method: 'POST', body});
 	}
 
+	/** @returns the newest version that the store has given out. */
+	async storeVersion(): Promise<number> {
+		const res = await fetch(`http://${this.store}/stand-in/counts`);
+		const {version} = (await res.json()) as {version: number};
+		return version;
+	}
+
+	/** Brings the store back to its state at an earlier version. */
+	async restoreStore(version: number): Promise<void> {
+		const res = await fetch(`http://${this.store}/stand-in/restore`, {
+			method: 'POST',
+			body: String(version),
+		});
+		await res.text();
+	}
+
 	async isReady(node: MeshNode): Promise<boolean> {
 		try {
 			const res = await fetch(`http://${node.address}:${ports.readiness}/v1/ready`);
--- a/scaffold/stand-ins/platform-store.ts
+++ b/scaffold/stand-ins/platform-store.ts
@@ -44,10 +44,13 @@
 	readonly table: string;
 	readonly after: number;
 	answer(): void;
+	end(answer: Answer): void;
 }
 
 const rows = new Map<string, Row>();
 const history: Row[] = [];
+/** All changes since the start, from which an earlier state is restored. */
+const changeLog: Row[] = [];
 const blobs = new Map<string, string>();
 const waiters = new Set<Waiter>();
 const faults: Faults = {
@@ -61,6 +64,7 @@
 const pageRows = 500;
 let version = 0;
 let historyStart = 0;
+let era = 1;
 
 function idOf({table, part, key}: RowAddress): string {
 	return [table, part, key].join('\n');
@@ -84,12 +88,15 @@
 		const row = {table, part, key, value, schema_version: version};
 		rows.set(idOf(row), row);
 		history.push(row);
+		changeLog.push(row);
 	}
 
 	for (const {table, part, key} of removals) {
 		const address = {table, part, key};
 		rows.delete(idOf(address));
-		history.push({...address, value: '', schema_version: version, tombstone: true});
+		const row = {...address, value: '', schema_version: version, tombstone: true};
+		history.push(row);
+		changeLog.push(row);
 	}
 
 	for (const waiter of waiters) {
@@ -119,7 +126,7 @@
 }
 
 function changesSince(table: string, after: number): Answer | undefined {
-	if (after < historyStart) {
+	if (after < historyStart || after > version) {
 		return {status: 410, body: {error: 'history is gone'}};
 	}
 
@@ -151,6 +158,7 @@
 		const waiter: Waiter = {
 			table,
 			after,
+			end: finish,
 			answer() {
 				const answer = changesSince(table, after);
 				if (answer) {
@@ -213,6 +221,30 @@
 	}
 }
 
+/** Goes back to the state at an earlier version, as a store does that is restored from a copy. */
+function restore(toVersion: number): void {
+	era += 1;
+	version = toVersion;
+	const kept = changeLog.filter((row) => row.schema_version <= toVersion);
+	for (const list of [changeLog, history]) {
+		list.length = 0;
+		list.push(...kept);
+	}
+
+	rows.clear();
+	for (const row of kept) {
+		if (row.tombstone) {
+			rows.delete(idOf(row));
+		} else {
+			rows.set(idOf(row), row);
+		}
+	}
+
+	for (const waiter of waiters) {
+		waiter.end({status: 503, body: {}});
+	}
+}
+
 async function handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
 	const url = new URL(req.url ?? '/', 'http://store');
 	const body = await readBody(req);
@@ -222,8 +254,16 @@
 		return;
 	}
 
+	if (url.pathname === '/stand-in/restore') {
+		res.once('finish', () => {
+			restore(Number(body));
+		});
+		res.end('{}');
+		return;
+	}
+
 	if (url.pathname === '/stand-in/counts') {
-		res.end(JSON.stringify(counts));
+		res.end(JSON.stringify({...counts, version}));
 		return;
 	}
 
@@ -233,7 +273,7 @@
 	}
 
 	if (faults.refused.includes(req.socket.remoteAddress ?? '')) {
-		res.writeHead(503).end('{}');
+		res.writeHead(503, {'store-era': era}).end('{}');
 		return;
 	}
 
@@ -245,7 +285,7 @@
 	}
 
 	setTimeout(() => {
-		res.writeHead(result.status, {'content-type': 'application/json'});
+		res.writeHead(result.status, {'content-type': 'application/json', 'store-era': era});
 		res.end(typeof result.body === 'string' ? result.body : JSON.stringify(result.body));
 	}, faults.delay);
 }
