Order what the store gives out by its era first, then by version

Seen in tests/restored-store.test.ts: after the store came back from an old copy, a configuration that was acknowledged did not come into force at any node within 20 s.

The feed goes on from a version; a restored store gives versions out again, and once it has passed the old position it answers with the changes above it only. Class: an order by a counter whose owner can go back.

Event 608 tells a restore from a dropped history, which the logs could not.

--- a/src/control/__tests__/unit/configuration-feed.test.ts
+++ b/src/control/__tests__/unit/configuration-feed.test.ts
@@ -30,7 +30,8 @@
 type Step = ChangePage | Error;
 
 function page(value: string, position: number): ChangePage {
-	return {changes: [{key: 'config', value, etag: String(position)}], position};
+	const changes = [{key: 'config', value, etag: String(position)}];
+	return {changes, position: {era: 1, version: position}};
 }
 
 /** Never resolves, like a long poll without changes. */
@@ -57,7 +58,7 @@
 
 	const store: RowFeed = {
 		snapshot: async () => next(undefined),
-		changes: async (_table, position) => next(position),
+		changes: async (_table, position) => next(position.version),
 	};
 	const logger: Logger = {
 		log(event) {
--- a/src/control/configuration-feed.ts
+++ b/src/control/configuration-feed.ts
@@ -12,6 +12,7 @@
 import {
 	HistoryLostError,
 	StoreUnavailableError,
+	type FeedPosition,
 	type RowChange,
 	type RowFeed,
 } from '../store/index.js';
@@ -67,7 +68,7 @@
  */
 export class ConfigurationFeed {
 	private readonly fetcher: ContentFetcher;
-	private position: number | undefined;
+	private position: FeedPosition | undefined;
 	private retryDelay = initialRetryDelay;
 	private lastReporter: string | undefined;
 	private isReachable = true;
@@ -176,14 +177,14 @@
 		this.retryDelay = initialRetryDelay;
 		if (!this.isReachable) {
 			this.isReachable = true;
-			this.deps.logger.log(logEvents.feedRegained, {position: this.position});
+			this.deps.logger.log(logEvents.feedRegained, {...this.position});
 		}
 	}
 
 	private recordFailure(err: unknown): Millis {
 		const {logger, random, revisions} = this.deps;
 		if (err instanceof HistoryLostError) {
-			logger.log(logEvents.feedHistoryLost, {position: this.position});
+			logger.log(logEvents.feedHistoryLost, {...this.position});
 			this.position = undefined;
 			return 0;
 		}
@@ -195,7 +196,7 @@
 		if (this.isReachable) {
 			this.isReachable = false;
 			const revision = revisions.inForce?.revision;
-			logger.log(logEvents.feedLost, {error: String(err), position: this.position, revision});
+			logger.log(logEvents.feedLost, {error: String(err), ...this.position, revision});
 		}
 
 		const delay = this.retryDelay * (0.5 + random.next());
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -4,6 +4,7 @@
 	HistoryLostError,
 	StoreUnavailableError,
 	type ChangePage,
+	type FeedPosition,
 	type ObjectStore,
 	type Row,
 	type RowChange,
@@ -12,4 +13,5 @@
 	type WriteOperation,
 	type WriteResult,
 } from './platform-store.js';
+export {StoreEra, type RestoreListener} from './store-era.js';
 export {StoreOperation} from './store-operation.js';
--- a/src/store/platform-store.ts
+++ b/src/store/platform-store.ts
@@ -4,7 +4,7 @@
 export interface Row {
 	readonly key: string;
 	readonly value: string;
-	/** Changes with each write of the row. */
+	/** Changes with each write of the row, and is never given out again. */
 	readonly etag: string;
 }
 
@@ -78,14 +78,24 @@
 	readonly etag: string;
 }
 
+/** Point in the history of the store. Points of different eras cannot be compared. */
+export interface FeedPosition {
+	/** Rises each time that the store is restored; undefined if the store does not report it. */
+	readonly era: number | undefined;
+	readonly version: number;
+}
+
 /** Changes of a table up to a position. */
 export interface ChangePage {
 	readonly changes: readonly RowChange[];
 	/** Position at which the next page starts. */
-	readonly position: number;
+	readonly position: FeedPosition;
 }
 
-/** The store no longer has the changes after the requested position; the table must be read again. */
+/**
+ * The store no longer has the changes after the requested position, or it was restored and has given
+ * out the position for other changes. The table must be read again.
+ */
 export class HistoryLostError extends Error {
 	override name = 'HistoryLostError';
 }
@@ -106,7 +116,7 @@
 	 * @returns the changes; none when nothing changed.
 	 * @throws {@link StoreUnavailableError}, {@link HistoryLostError}
 	 */
-	changes(table: string, position: number, wait: Millis): Promise<ChangePage>;
+	changes(table: string, position: FeedPosition, wait: Millis): Promise<ChangePage>;
 }
 
 /** The platform's object store. */
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -154,7 +154,7 @@
 		604,
 		'feed-history-lost',
 		warn,
-		'The store has dropped its history; the configuration is read again.',
+		'The store has no history after the position of the feed; the configuration is read again.',
 	),
 	rosterRead: event(605, 'roster-read', info, 'The node is registered and has read the roster.'),
 	rosterUnavailable: event(
@@ -169,6 +169,12 @@
 		info,
 		'The roster row of a departed node was deleted.',
 	),
+	storeRestored: event(
+		608,
+		'store-restored',
+		warn,
+		'The store was restored from an earlier state and has lost its latest writes.',
+	),
 	settingsReloaded: event(107, 'settings-reloaded', info, 'The settings file was read again.'),
 	settingsRejected: event(
 		108,
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -1,4 +1,4 @@
-import {second, type Clock, type Millis} from '../clock/index.js';
+import {second, type Clock, type Millis, type Undo} from '../clock/index.js';
 import {
 	ConfigurationFeed,
 	mustReadStore,
@@ -25,14 +25,21 @@
 import {OperatorServer, textReply} from '../operations/index.js';
 import {ObjectivePlacement} from '../routing/index.js';
 import type {NodeSettings} from '../settings/index.js';
-import type {RowFeed, TableService} from '../store/index.js';
+import type {RestoreListener, RowFeed, TableService} from '../store/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 import {pause} from '../util/index.js';
 import {NodeCore, type NodeCoreHooks} from './node-core.js';
 import {registerOperatorRoutes} from './operator-routes.js';
 
 /** Platform store that a routed node uses. */
-export type RoutedStore = TableService & RowFeed & {close(): void};
+export interface RoutedStore extends TableService, RowFeed {
+	close(): void;
+	/**
+	 * @param listener - called when an answer shows that the store was restored.
+	 * @returns a function that ends the registration.
+	 */
+	registerRestoreListener(listener: RestoreListener): Undo;
+}
 
 /** Adapters of a routed node to its platform, callers and backend server. */
 export interface RoutedNodeAdapters {
@@ -162,6 +169,9 @@
 		gossip.registerListener((member) => {
 			this.scheduleLink(member);
 		});
+		store.registerRestoreListener((era, previous) => {
+			logger.log(logEvents.storeRestored, {era, previous});
+		});
 		registerOperatorRoutes(this.operatorServer, this);
 		this.registerReadiness();
 		adapters.registerAnnouncements(this.announcementServer, this);
--- a/tests/restored-store.test.ts
+++ b/tests/restored-store.test.ts
@@ -25,6 +25,12 @@
 		await mesh.stop();
 	});
 
+	async function atEachNode(check: (node: MeshNode) => Promise<boolean>): Promise<void> {
+		for (const node of nodes) {
+			await eventually(async () => check(node));
+		}
+	}
+
 	async function writeOtherRows(count: number): Promise<void> {
 		for (let i = 0; i < count; i++) {
 			await mesh.writeRow('op', 'other', `value-${i}`);
@@ -40,9 +46,7 @@
 		const acknowledgedAt = performance.now();
 		await writeOtherRows(20);
 		await mesh.setStoreFaults({refused: []});
-		for (const node of nodes) {
-			await eventually(async () => (await mesh.statusFor(node, {path: '/new/1'})) === 200);
-		}
+		await atEachNode(async (node) => (await mesh.statusFor(node, {path: '/new/1'})) === 200);
 
 		expect(performance.now() - acknowledgedAt).toBeLessThan(maxApplyMs);
 	});
@@ -55,15 +59,11 @@
 		await mesh.endNode(nodes[1]!, 'SIGKILL');
 		await mesh.startNode(nodes[1]!);
 		await mesh.settle();
-		for (const node of nodes) {
-			await eventually(async () => (await mesh.version(node)) === 2);
-		}
+		await atEachNode(async (node) => (await mesh.version(node)) === 2);
 
 		await mesh.configure([route, addedRoute], 2);
 		await mesh.configure([addedRoute]);
-		for (const node of nodes) {
-			await eventually(async () => (await mesh.version(node)) === 3);
-		}
+		await atEachNode(async (node) => (await mesh.version(node)) === 3);
 	});
 
 	it('are found by a node that starts after their rows were lost', async () => {
