Write the roster rows again that a restored store has lost

Seen in tests/restored-store.test.ts: after the store came back from a copy without the rows of the nodes, a node that started found no other one within 20 s. Alone it would serve the configuration of the old copy and call only its own backend server.

A node writes its row once and then looks at it every 5 minutes; what the store has acknowledged was taken as kept for good. Class: state whose only owner can lose it.

Change: a node that notices a restore, as the readers of each zone do at their next request, lists the rows and writes those of its zone's present members that are missing, under the condition that they are absent. The membership is the newer truth; the others need not know of the restore.

A unit test covers an outage during the restore, members that left and other zones.

--- a/src/control/__tests__/unit/roster.test.ts
+++ b/src/control/__tests__/unit/roster.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {ManualClock} from '../../../clock/index.js';
-import {createLocalMember, GossipType, isRoutable} from '../../../membership/index.js';
+import {createLocalMember, GossipType, isRoutable, MemberPhase} from '../../../membership/index.js';
 import {createTestGossip} from '../../../membership/__tests__/test-gossip.js';
 import {createRandom} from '../../../random/index.js';
 import {
@@ -128,6 +128,34 @@
 		await enrolled;
 	});
 
+	it('writes the lost rows of the present members of its zone after a restore of the store', async () => {
+		const {roster, gossip, store, addRow, advance} = createFixture();
+		const other = '10.0.0.2:7001';
+		const gone = '10.0.0.3:7001';
+		const elsewhere = '10.0.0.4:7001';
+		gossip.directory.merge({...createLocalMember(other, 1, place), service: 't'});
+		gossip.directory.merge({
+			...createLocalMember(gone, 1, place),
+			phase: MemberPhase.Left,
+		});
+		gossip.directory.merge(createLocalMember(elsewhere, 1, {...place, zone: 'y'}));
+		store.isDown = true;
+		const restored = roster.restoreRows();
+		await advance(1000);
+		store.isDown = false;
+		await advance(1000);
+		await restored;
+		expect([...store.rows].map(([key, {value}]) => [key, value])).toEqual([
+			['members/10.0.0.1:7001', '{"region":"r","zone":"z","service":"s"}'],
+			[`members/${other}`, '{"region":"r","zone":"z","service":"t"}'],
+		]);
+		await addRow(gone);
+		store.calls = 0;
+		void roster.restoreRows();
+		await advance(1000);
+		expect(store.calls).toBe(1);
+	});
+
 	it('writes nothing when its row is up to date', async () => {
 		const {roster, store, addRow, advance, receiveFrom} = createFixture();
 		await addRow('10.0.0.1:7001', '{"region":"r","zone":"z","service":"s"}');
--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -30,6 +30,8 @@
  * it ends.
  */
 const firstReadJitter: Millis = 300;
+/** Bound of the random delay before lost rows are written again. */
+const restoreJitter: Millis = 300;
 /** Interval at which a node that has not joined contacts members of the rows again. */
 const joinRetryPeriod: Millis = 250;
 /** Bounds of the delay before a node that has not joined reads the rows again; doubles each time. */
@@ -65,7 +67,8 @@
  * Keeps a row per node of the deployment in the platform's store. A starting node reads the rows, adds many
  * of the members as unconfirmed and sends a join to some; gossip spreads the rest. Calls to the store are
  * paid for, so at the first start a node that other nodes have already contacted does not read, and a node
- * whose row is up to date does not write.
+ * whose row is up to date does not write. When the store is restored from an earlier state, the readers of
+ * each zone write the lost rows of their zone again.
  */
 export class Roster {
 	private readonly absentSince = new Map<string, Millis>();
@@ -100,6 +103,17 @@
 		});
 	}
 
+	/**
+	 * Writes the rows of the zone's present members that the store has lost by a restore, the own one
+	 * included. Members that do not read the store need not notice the restore themselves.
+	 */
+	async restoreRows(): Promise<void> {
+		const {clock, random} = this.deps;
+		// Spread, so that of the readers of a zone the second one finds the rows of the first.
+		await pause(clock, restoreJitter * random.next());
+		await this.retryUntilStopped(async () => this.writeMissing());
+	}
+
 	/** Stops enrolling. */
 	stop(): void {
 		this.isStopped = true;
@@ -208,6 +222,29 @@
 		return rendezvous('roster', ids, auditors).includes(account.id);
 	}
 
+	private async writeMissing(): Promise<void> {
+		const {gossip, store, logger} = this.deps;
+		const rows = await this.read();
+		const missing = [...gossip.directory.all()].filter(
+			(member) =>
+				isPresent(member) &&
+				distanceBetween(gossip.localMember, member) === Distance.SameZone &&
+				!rows.has(member.id),
+		);
+		if (missing.length === 0) {
+			return;
+		}
+
+		await store.write(
+			missing.map((member) => ({
+				key: `${memberPrefix}${member.id}`,
+				value: this.valueOf(member),
+				expect: Precondition.Absent,
+			})),
+		);
+		logger.log(logEvents.rosterRestored, {members: missing.length});
+	}
+
 	private async register(expect: Precondition.Any | Precondition.Absent): Promise<void> {
 		const {id} = this.deps.gossip.localMember;
 		const value = this.ownValue();
@@ -215,8 +252,12 @@
 	}
 
 	private ownValue(): string {
-		const {region, zone} = this.deps.gossip.localMember;
-		return JSON.stringify({region, zone, service: this.deps.service});
+		return this.valueOf(this.deps.gossip.localMember);
+	}
+
+	private valueOf({id, region, zone, service}: Member): string {
+		const isOwn = id === this.deps.gossip.localMember.id;
+		return JSON.stringify({region, zone, service: isOwn ? this.deps.service : service});
 	}
 
 	private async read(): Promise<Map<string, Row>> {
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -175,6 +175,12 @@
 		warn,
 		'The store was restored from an earlier state and has lost its latest writes.',
 	),
+	rosterRestored: event(
+		609,
+		'roster-restored',
+		info,
+		'Roster rows that the store had lost were written again.',
+	),
 	settingsReloaded: event(107, 'settings-reloaded', info, 'The settings file was read again.'),
 	settingsRejected: event(
 		108,
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -171,6 +171,7 @@
 		});
 		store.registerRestoreListener((era, previous) => {
 			logger.log(logEvents.storeRestored, {era, previous});
+			void this.roster.restoreRows();
 		});
 		registerOperatorRoutes(this.operatorServer, this);
 		this.registerReadiness();
