Write an accepted revision again that a restored store has lost

Seen in tests/configuration.test.ts (native nodes): after a restore to before an accepted revision the history lacked it for good, and once all nodes had restarted the older revision was in force again. The next change of an operator got the number of the lost one and was never accepted.

Nodes took the head of the store as the newest truth and compared it with what they knew only in one direction; a zone acknowledged a staged revision once.

Change: a reader that knows a newer accepted revision than the head writes content, head and history again, conditional on the head that it has read, so that an acceptance that came in between wins. A zone whose acknowledgment is missing acknowledges again. No era is needed, as the comparison holds at any time.

Measured: the test, red before (also the one after it, which restarts all nodes), passes.

--- a/scaffold/deployment/deployment.ts
+++ b/scaffold/deployment/deployment.ts
@@ -30,6 +30,8 @@
 export interface StoreCounts {
 	readonly reads: number;
 	readonly writes: number;
+	/** Newest version that the store has given out. */
+	readonly version: number;
 }
 
 /** Ports on each VM. */
@@ -294,6 +296,14 @@
 		await fetchText(`${this.storeControl}/stand-in/faults`, JSON.stringify(faults));
 	}
 
+	/**
+	 * Brings the store back to an earlier state.
+	 * @param version - version of the state.
+	 */
+	async restoreStore(version: number): Promise<void> {
+		await fetchText(`${this.storeControl}/stand-in/restore`, String(version));
+	}
+
 	/** @returns what the store was asked. */
 	async storeCounts(): Promise<StoreCounts> {
 		return JSON.parse(await fetchText(`${this.storeControl}/stand-in/counts`)) as StoreCounts;
--- a/src/control/declaration-store.ts
+++ b/src/control/declaration-store.ts
@@ -1,6 +1,7 @@
 import {
 	accept,
 	parseHead,
+	withAccepted,
 	withdraw,
 	type HeadRecord,
 	type RevisionRecord,
@@ -134,6 +135,29 @@
 		return result;
 	}
 
+	/**
+	 * Writes an accepted revision again that the store has lost by a restore from an earlier state. A staged
+	 * revision with a lower or equal number is dropped, as its number was given out before.
+	 * @param before - the head as it was read, with an older accepted revision.
+	 * @param record - the accepted revision.
+	 * @param content - its content.
+	 * @param pause - waits between two attempts.
+	 */
+	async restoreAccepted(
+		before: HeadRow,
+		record: RevisionRecord,
+		content: string,
+		pause: () => Promise<void>,
+	): Promise<HeadWriteResult> {
+		await this.putContent(record.hash, content, pause);
+		const result = await this.replaceHead(before, withAccepted(before.head, record), pause);
+		if (result === HeadWriteResult.Written) {
+			await this.addHistory(record);
+		}
+
+		return result;
+	}
+
 	/**
 	 * Withdraws the staged revision.
 	 * @param before - the head as it was read.
--- a/src/control/revision-agent.ts
+++ b/src/control/revision-agent.ts
@@ -1,5 +1,5 @@
 import {second, type Clock, type Millis} from '../clock/index.js';
-import type {RevisionTracker, KnownRevisions} from '../declaration/index.js';
+import type {RevisionTracker, KnownRevisions, RevisionRecord} from '../declaration/index.js';
 import type {LinkHub} from '../link/index.js';
 import {isPresent, type Gossip, type HeldRevision, type Member} from '../membership/index.js';
 import type {Random} from '../random/index.js';
@@ -43,6 +43,8 @@
 	private nextZoneRegistrationAt = 0;
 	private acknowledgedRevision = 0;
 	private hasReadStore = false;
+	/** The newest accepted revision that this node has read from the store. */
+	private newestRecord: RevisionRecord | undefined;
 	private readonly reporters = new Set<string>();
 	private isStopped = false;
 
@@ -147,6 +149,10 @@
 			}
 
 			await this.registerZone(store);
+			if (await this.restoreAccepted(store, row)) {
+				return true;
+			}
+
 			return await this.advanceStaged(store, row);
 		} catch (err) {
 			if (!(err instanceof StoreUnavailableError)) {
@@ -157,6 +163,34 @@
 		}
 	}
 
+	// Revisions known here were accepted, so a store with an older one was restored from an earlier state.
+	private async restoreAccepted(store: DeclarationStore, row: HeadRow): Promise<boolean> {
+		const {revisions, clock, logger} = this.deps;
+		const {accepted: revision, acceptedHash: hash} = revisions.known;
+		const {accepted} = row.head;
+		if ((accepted?.revision ?? 0) >= revision) {
+			this.newestRecord = accepted;
+			return false;
+		}
+
+		const content = revisions.contentOf(hash);
+		if (content === undefined) {
+			return false;
+		}
+
+		const isRead = this.newestRecord?.revision === revision;
+		const record = isRead ? this.newestRecord! : createRecord(revision, hash, clock.wallNow());
+		const wait = async () => pause(clock, pollPeriod);
+		const result = await store.restoreAccepted(row, record, content, wait);
+		const isRestored = result === HeadWriteResult.Written;
+		if (isRestored) {
+			const previous = accepted?.revision;
+			logger.log(logEvents.revisionRestored, {revision, previous});
+		}
+
+		return isRestored;
+	}
+
 	private async registerZone(store: DeclarationStore): Promise<void> {
 		const now = this.deps.clock.now();
 		if (now >= this.nextZoneRegistrationAt) {
@@ -197,6 +231,12 @@
 	): Promise<void> {
 		const unacknowledged = await store.unacknowledgedZones(revision);
 		if (unacknowledged.length > 0) {
+			const {region, zone} = this.deps.gossip.localMember;
+			// A restored store may have lost the acknowledgment; it is then written again.
+			if (unacknowledged.includes(zoneName(region, zone))) {
+				this.acknowledgedRevision = 0;
+			}
+
 			return;
 		}
 
@@ -247,6 +287,11 @@
 	}
 }
 
+// For a node that knows the revision from its peers only.
+function createRecord(revision: number, hash: string, at: Millis): RevisionRecord {
+	return {revision, hash, changeId: '', author: '', message: 'written again by a node', at};
+}
+
 function knownRevisionsOf(row: HeadRow): KnownRevisions {
 	const {accepted, staged} = row.head;
 	return {
--- a/src/declaration/head-record.ts
+++ b/src/declaration/head-record.ts
@@ -54,6 +54,21 @@
 	return {...head, staged: undefined};
 }
 
+/**
+ * @param head - a head whose accepted revision is older than a known one.
+ * @param record - the newer accepted revision.
+ * @returns the head with the newer revision accepted, and without a staged one of a lower or equal number.
+ */
+export function withAccepted(head: HeadRecord, record: RevisionRecord): HeadRecord {
+	const {revision} = record;
+	const isStagedNewer = head.staged !== undefined && head.staged.revision > revision;
+	return {
+		lastRevision: Math.max(head.lastRevision, revision),
+		accepted: record,
+		staged: isStagedNewer ? head.staged : undefined,
+	};
+}
+
 /**
  * @param text - value of the head row; undefined when there is none.
  * @returns the record.
--- a/src/declaration/index.ts
+++ b/src/declaration/index.ts
@@ -13,6 +13,7 @@
 	emptyHead,
 	parseHead,
 	stage,
+	withAccepted,
 	withdraw,
 	type HeadRecord,
 	type RevisionRecord,
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -141,6 +141,12 @@
 		error,
 		'A configuration revision could not be used.',
 	),
+	revisionRestored: event(
+		503,
+		'revision-restored',
+		warn,
+		'An accepted revision that the store had lost was written again.',
+	),
 	storeDown: event(600, 'store-down', warn, 'The platform store does not answer.'),
 	storeUp: event(601, 'store-up', info, 'The platform store answers again.'),
 	feedLost: event(602, 'feed-lost', warn, 'The configuration feed of the store was lost.'),
--- a/tests/configuration.test.ts
+++ b/tests/configuration.test.ts
@@ -153,6 +153,21 @@
 		await waitForRevision(revision);
 	});
 
+	it('keeps an accepted revision, and accepts a further one, when the store was restored from before it', async () => {
+		const {version} = await deployment.storeCounts();
+		const {revision: lost} = await applyDeclaration(createDeclaration('18 s'));
+		await waitForRevision(lost);
+		await deployment.restoreStore(version);
+		await deployment.waitFor('the revision in the history', async () => {
+			const {output} = await deployment.operate('history', '--json');
+			const records = JSON.parse(output) as Array<{revision: number}>;
+			return records.some(({revision}) => revision === lost);
+		});
+		const {code, revision} = await applyDeclaration(createDeclaration('19 s'));
+		expect({code, revision}).toEqual({code: 0, revision: lost + 1});
+		await waitForRevision(revision);
+	});
+
 	it('restores the revision in force after all nodes restart', async () => {
 		const [revision] = await revisionsInForce();
 		for (const pair of deployment.pairs) {
