Model: backend servers that name a rate limit, and what reporting it is worth

The simulated backend servers of an episode can name a limit; the fleet reports the most calls that a limited one got in 4 s. Mechanism rate-report switches off that ingresses follow the reported limit.

--- a/bench/fleet/__tests__/unit/simulated-fleet.test.ts
+++ b/bench/fleet/__tests__/unit/simulated-fleet.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {Mechanism} from '../../../../src/experiment/index.js';
-import {SimulatedFleet} from '../../simulated-fleet.js';
+import {SimulatedFleet, type FleetOutcome} from '../../simulated-fleet.js';
 import {sumWindows, type TrialOutcome} from '../../trial.js';
 import {deployments, episodes} from '../../workload.js';
 
@@ -11,14 +11,22 @@
 	Mechanism.ElapsedTime,
 ]);
 
-async function play(
+async function simulate(
 	deploymentName: string,
 	episodeName: string,
 	disabled?: ReadonlySet<Mechanism>,
-): Promise<TrialOutcome> {
+): Promise<FleetOutcome> {
 	const deployment = deployments.find(({name}) => name === deploymentName)!;
 	const episode = episodes.find(({name}) => name === episodeName)!;
-	const {windows, attempts} = await new SimulatedFleet(deployment, episode, 1, disabled).run();
+	return new SimulatedFleet(deployment, episode, 1, disabled).run();
+}
+
+async function play(
+	deployment: string,
+	episode: string,
+	disabled?: ReadonlySet<Mechanism>,
+): Promise<TrialOutcome> {
+	const {windows, attempts} = await simulate(deployment, episode, disabled);
 	return sumWindows(windows, attempts);
 }
 
@@ -45,3 +53,15 @@
 		60_000,
 	);
 });
+
+describe('A fleet in which two of five backend servers of a service name a rate limit', () => {
+	it.each(['short calls', 'long calls'])(
+		'keeps the limit of 6 calls per second (%s)',
+		async (deployment) => {
+			const {mostLimitedStarts} = await simulate(deployment, 'rate limits');
+			expect(mostLimitedStarts).toBeLessThanOrEqual(1.5 * 6 * 4 + 5);
+			expect(mostLimitedStarts).toBeGreaterThanOrEqual(6 * 2);
+		},
+		60_000,
+	);
+});
--- a/bench/fleet/simulated-backend.ts
+++ b/bench/fleet/simulated-backend.ts
@@ -34,6 +34,7 @@
 export class SimulatedBackend implements BackendSender {
 	private periodSlowdown = 1;
 	private running = 0;
+	private readonly limitedStarts: Millis[] = [];
 
 	constructor(
 		readonly service: string,
@@ -67,6 +68,25 @@
 		return episode.isColdStart ? Math.max(0, deployment.cold.duration - clock.now()) : 0;
 	}
 
+	/** Calls per second that the backend server takes; undefined if it names no limit. */
+	get rateLimit(): number | undefined {
+		const {clock, episode, origin} = this.deps;
+		return episode.rateLimit?.(this.service, this.index, clock.now() - origin);
+	}
+
+	/**
+	 * @param duration - length of a window, in ms.
+	 * @returns the most calls that have started in such a window after the limit was named for as long.
+	 */
+	mostLimitedStarts(duration: Millis): number {
+		const starts = this.limitedStarts;
+		const settled = starts.filter((at) => at >= (starts[0] ?? 0) + duration);
+		const counts = settled.map((from) =>
+			settled.filter((at) => at >= from && at < from + duration),
+		);
+		return Math.max(0, ...counts.map(({length}) => length));
+	}
+
 	async send(
 		attempt: Attempt,
 		gate: WriteGate,
@@ -78,10 +98,15 @@
 			return createRefused(reason);
 		}
 
+		if (this.rateLimit !== undefined) {
+			this.limitedStarts.push(this.deps.clock.now());
+		}
+
 		const startedSlowdown = this.slowdown * this.saturationSlowdown();
 		this.running += 1;
 		const isServed = await this.run(attempt, startedSlowdown);
 		this.running -= 1;
+		listener.onNotice({rateLimit: this.rateLimit, isLeaving: false});
 		listener.onLoad({
 			running: this.running,
 			waiting: 0,
--- a/bench/fleet/simulated-fleet.ts
+++ b/bench/fleet/simulated-fleet.ts
@@ -42,8 +42,11 @@
 	readonly windows: readonly WindowOutcome[];
 	readonly attempts: number;
 	readonly hedges: number;
+	/** Most calls in 4 s at a backend server that names a rate limit. */
+	readonly mostLimitedStarts: number;
 }
 
+const limitWindow: Millis = 4 * second;
 const windowLength: Millis = 2 * second;
 /** One-way delay between two nodes, by distance, in ms. */
 const oneWay: Readonly<Record<Distance, Millis>> = {
@@ -120,7 +123,13 @@
 		await this.clock.runSettled(this.origin + this.episode.duration + 3 * second);
 		const hedges = await this.metrics.retries.get();
 		const hedgeCount = hedges.values.find(({labels}) => labels.reason === 'hedge')?.value ?? 0;
-		return {windows: this.windows, attempts: this.attempts, hedges: hedgeCount};
+		const limitedStarts = this.nodes.map((node) => node.mostLimitedStarts(limitWindow));
+		return {
+			windows: this.windows,
+			attempts: this.attempts,
+			hedges: hedgeCount,
+			mostLimitedStarts: Math.max(0, ...limitedStarts),
+		};
 	}
 
 	private createNodes(seed: number): void {
--- a/bench/fleet/simulated-node.ts
+++ b/bench/fleet/simulated-node.ts
@@ -99,6 +99,14 @@
 		this.runner.reconsiderHedges(id);
 	}
 
+	/**
+	 * @param duration - length of a window, in ms.
+	 * @returns the most calls that the backend server got in such a window while it named a rate limit.
+	 */
+	mostLimitedStarts(duration: Millis): number {
+		return this.backend.mostLimitedStarts(duration);
+	}
+
 	private createExecutor(): Executor {
 		const {clock, metrics, disabled} = this.deps;
 		const broadcaster = this.createBroadcaster();
@@ -162,9 +170,12 @@
 	}
 
 	private async probeSpeed(): Promise<void> {
+		const sentAt = this.deps.clock.now();
 		await new Promise<void>((resolve) => {
 			this.deps.clock.after(probeDuration, resolve);
 		});
-		this.executor.readSpeed(this.backend.slowdown);
+		const {rateLimit, slowdown} = this.backend;
+		this.executor.readNotice(this.member.id, {rateLimit, isLeaving: false}, sentAt);
+		this.executor.readSpeed(slowdown);
 	}
 }
--- a/bench/fleet/workload.ts
+++ b/bench/fleet/workload.ts
@@ -64,6 +64,8 @@
 	load(at: Millis): number;
 	/** @returns factor on the run time of the backend servers of a service. */
 	slowdown(service: string, executor: number, at: Millis): number;
+	/** @returns calls per second that a backend server of a service takes; undefined if it names no limit. */
+	rateLimit?(service: string, executor: number, at: Millis): number | undefined;
 }
 
 const noSlowdown = () => 1;
@@ -320,4 +322,12 @@
 		load: () => 1.1,
 		slowdown: (_service, executor, at) => (executor % 5 < 2 && at > 2 * second ? 12 : 1),
 	},
+	{
+		name: 'rate limits',
+		duration: 12 * second,
+		isColdStart: false,
+		load: () => 0.8,
+		slowdown: noSlowdown,
+		rateLimit: (_service, executor, at) => (executor % 5 < 2 && at > 2 * second ? 6 : undefined),
+	},
 ];
--- a/src/experiment/mechanism.ts
+++ b/src/experiment/mechanism.ts
@@ -24,6 +24,8 @@
 	FailureLoss = 'failure-loss',
 	/** Counts the objective of a caller that returns after a refusal from its first request. */
 	ElapsedTime = 'elapsed-time',
+	/** Sends calls elsewhere while an executor reports that its rate limit is used up. */
+	RateReport = 'rate-report',
 	/** Evaluates only a sample of the executors of a large service. */
 	ExecutorSampling = 'executor-sampling',
 	/** Lets a call wait for an executor when its service has none. */
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -242,7 +242,7 @@
 			load: loadOf(view, now),
 			slots: view.load?.slots ?? (member.slots > 0 ? member.slots : defaultSlots),
 			roundTrip: roundTrips[distance],
-			rateWait: rateWaitOf(view, now),
+			rateWait: disabled?.has(Mechanism.RateReport) ? 0 : rateWaitOf(view, now),
 		});
 		const {objectiveLeft, timeLeft} = query;
 		const lateness = expectedLoss({expected: time, objectiveLeft, timeLeft});
