Refuse header names that are no tokens, and say that nothing ran

Had the request another Host, the odd name would have been passed on, and a backend server might read it as another header.

Cause: the check was left to the parser, which differs between versions that we support (>= 20.19). Change: the ingress checks that Host is there and that each name is a token, refuses with bad-request (not-run) and closes the connection.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -1,4 +1,10 @@
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer,
+	validateHeaderName,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
 import type {Duplex} from 'node:stream';
 import type {KeyedCalls} from '../claims/index.js';
 import {
@@ -65,7 +71,8 @@
 				headersTimeout: headTimeout,
 				requestTimeout,
 				keepAliveTimeout: idleTimeout,
-				requireHostHeader: true,
+				// Checked together with the names of the headers, so that the refusal says that nothing ran.
+				requireHostHeader: false,
 				insecureHTTPParser: false,
 				noDelay: true,
 			},
@@ -148,6 +155,7 @@
 			return this.issueKey(req, res, keyedCalls);
 		}
 
+		checkHead(req);
 		const call = await this.createCall(req, res, index);
 		const end = await this.run(call);
 		return this.sendEnd(res, call, end);
@@ -308,7 +316,7 @@
 
 		if (err instanceof RefusedRequestError && !res.headersSent) {
 			// The rest of the request is not read, so the connection is closed after the refusal.
-			res.shouldKeepAlive = req.complete;
+			res.shouldKeepAlive = req.complete && err.reason !== RefusalReason.BadRequest;
 			const reason = protocol.refineReason(req, err.reason);
 			logger.log(logEvents.requestRefused, {
 				host: req.headers.host,
@@ -355,6 +363,25 @@
 	}
 }
 
+// Some versions of the HTTP parser accept a space after the name of a header, which a backend server may
+// read as another header (RFC 9112, section 5.1).
+function checkHead({rawHeaders, headers, httpVersion}: IncomingMessage): void {
+	const isHostMissing = headers.host === undefined && httpVersion === '1.1';
+	const hasInvalidName = rawHeaders.some((name, i) => i % 2 === 0 && !isHeaderName(name));
+	if (isHostMissing || hasInvalidName) {
+		throw new RefusedRequestError(RefusalReason.BadRequest);
+	}
+}
+
+function isHeaderName(name: string): boolean {
+	try {
+		validateHeaderName(name);
+		return true;
+	} catch {
+		return false;
+	}
+}
+
 function badRequestStatus(err: NodeJS.ErrnoException): string {
 	switch (err.code) {
 		case 'HPE_HEADER_OVERFLOW': {
