--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -32,6 +32,8 @@
 const firstReadJitter: Millis = 300;
 /** Bound of the random delay before lost rows are written again. */
 const restoreJitter: Millis = 300;
+/** Rows that are written again in one transaction. */
+const restoreBatchSize = 40;
 /** Interval at which a node that has not joined contacts members of the rows again. */
 const joinRetryPeriod: Millis = 250;
 /** Bounds of the delay before a node that has not joined reads the rows again; doubles each time. */
@@ -235,13 +237,16 @@
 			return;
 		}
 
-		await store.write(
-			missing.map((member) => ({
+		for (let i = 0; i < missing.length; i += restoreBatchSize) {
+			const operations = missing.slice(i, i + restoreBatchSize).map((member) => ({
 				key: `${memberPrefix}${member.id}`,
 				value: this.valueOf(member),
-				expect: Precondition.Absent,
-			})),
-		);
+				expect: Precondition.Absent as const,
+			}));
+			// Sequential, to leave the store's rate of writes to others.
+			await store.write(operations); // eslint-disable-line no-await-in-loop
+		}
+
 		logger.log(logEvents.rosterRestored, {members: missing.length});
 	}
 
