--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -175,6 +175,7 @@
 		if (instance !== this.limitedInstance) {
 			this.limitedInstance = instance;
 			this.rateLimit.lift();
+			this.deps.metrics.rateLimit.set(noRateLimit);
 		}
 
 		this.target = {sender, service, instance, isLeaving: false};
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -312,7 +312,7 @@
 function rateWaitOf(
 	{load, reportedAt, outstanding, outstandingAtReport}: ExecutorView,
 	now: Millis,
-) {
+): Millis {
 	if (load?.rateLimit === undefined) {
 		return 0;
 	}
