--- a/src/call/request-head.ts
+++ b/src/call/request-head.ts
@@ -28,4 +28,6 @@
 	readonly origin: RequestOrigin;
 	/** Hash of the request; equal requests have equal hashes. */
 	readonly fingerprint: string;
+	/** Regions that the request may be sent to; undefined for any. Known at the ingress only. */
+	readonly allowedRegions?: readonly string[] | undefined;
 }
--- a/src/declaration/declaration-index.ts
+++ b/src/declaration/declaration-index.ts
@@ -1,5 +1,6 @@
 import type {
 	CallPolicy,
+	CustomerPolicy,
 	Declaration,
 	LinkBudget,
 	RoutePolicy,
@@ -12,6 +13,8 @@
 	private readonly services = new Map<string, ServicePolicy>();
 	private readonly calls = new Map<string, Map<string, CallPolicy>>();
 	private readonly routes: RouteTable;
+	private readonly customersByKey = new Map<string, CustomerPolicy>();
+	private readonly customers = new Map<string, CustomerPolicy>();
 
 	constructor(
 		readonly revision: number,
@@ -22,6 +25,13 @@
 		}
 
 		this.routes = new RouteTable(declaration.routes ?? []);
+		for (const policy of declaration.customers ?? []) {
+			this.customers.set(policy.customer, policy);
+			for (const digest of policy.keyDigests) {
+				this.customersByKey.set(digest, policy);
+			}
+		}
+
 		for (const policy of declaration.calls) {
 			const customers = this.calls.get(policy.service) ?? new Map<string, CallPolicy>();
 			customers.set(policy.customer, policy);
@@ -55,6 +65,27 @@
 		return this.routes.lookUp(host, path);
 	}
 
+	/** Whether requests carry keys of customers. */
+	get hasCustomers(): boolean {
+		return this.declaration.customers !== undefined;
+	}
+
+	/**
+	 * @param customer - name of a customer.
+	 * @returns its policy; undefined when it is not declared.
+	 */
+	customer(customer: string): CustomerPolicy | undefined {
+		return this.customers.get(customer);
+	}
+
+	/**
+	 * @param digest - digest of a key.
+	 * @returns the customer that holds the key; undefined when no customer does.
+	 */
+	customerOfKey(digest: string): CustomerPolicy | undefined {
+		return this.customersByKey.get(digest);
+	}
+
 	/**
 	 * @param a - one region.
 	 * @param b - another region.
--- a/src/declaration/declaration.ts
+++ b/src/declaration/declaration.ts
@@ -16,6 +16,10 @@
 	readonly healthPath?: string;
 	/** Maximum number of connections to a backend server, if declared. */
 	readonly connections?: number;
+	/** Requests per second that a cold backend server tolerates; undefined if it tolerates any number. */
+	readonly coldRate?: number;
+	/** Time after its start for which a backend server is cold, in ms. */
+	readonly coldDuration?: Millis;
 }
 
 /** Settings for the calls of one customer to one service. */
@@ -65,6 +69,25 @@
 	/** Priority among the requests of a service; 0 is the highest. */
 	readonly priority: number;
 	readonly targets: readonly RouteTarget[];
+	/** Regions that requests and their bodies may be sent to; undefined for any region. */
+	readonly allowedRegions?: readonly string[];
+	/** Whether requests need no key of a customer. */
+	readonly isAnonymous?: boolean;
+}
+
+/** Settings of a customer that identifies itself by a key. */
+export interface CustomerPolicy {
+	readonly customer: string;
+	/** SHA-256 digests of the customer's keys, in hexadecimal digits. */
+	readonly keyDigests: readonly string[];
+	/** Priority that goes before the priority of the route; 0 is the highest. Undefined for the route's alone. */
+	readonly priority?: number;
+	/** Requests per second that all nodes together run for the customer; 0 for no limit. */
+	readonly rate: number;
+	/** Requests that the customer may send at once in addition to the rate. */
+	readonly burst: number;
+	/** Regions that requests and their bodies may be sent to; undefined for any region. */
+	readonly allowedRegions?: readonly string[];
 }
 
 /** Size limits and time-outs for the connections of callers. */
@@ -93,4 +116,6 @@
 	/** Routes by host and path; absent when callers name the service. */
 	readonly routes?: readonly RoutePolicy[];
 	readonly callerLimits?: CallerLimits;
+	/** Customers that identify themselves by a key; absent when requests carry no keys. */
+	readonly customers?: readonly CustomerPolicy[];
 }
--- a/src/declaration/index.ts
+++ b/src/declaration/index.ts
@@ -1,6 +1,7 @@
 export type {
 	CallerLimits,
 	CallPolicy,
+	CustomerPolicy,
 	Declaration,
 	LinkBudget,
 	RoutePolicy,
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -217,6 +217,7 @@
 			objectiveLeft: objective.timeLeft(now),
 			requestBytes: body.bytes?.length ?? 0,
 			excluded: progress.tried,
+			allowedRegions: head.allowedRegions,
 		};
 	}
 
--- a/src/ingress/caller-protocol.ts
+++ b/src/ingress/caller-protocol.ts
@@ -20,6 +20,8 @@
 	readonly elapsed: Millis;
 	/** Headers forwarded to the backend server. */
 	readonly headers: HeaderList;
+	/** Regions that the request may be sent to; undefined for any. */
+	readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** A refusal as reported to the caller. */
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -420,7 +420,7 @@
 }
 
 function createHead(req: IncomingMessage, parameters: CallParameters, body: Body): RequestHead {
-	const {policy, headers, isIdempotent, key, origin} = parameters;
+	const {policy, headers, isIdempotent, key, origin, allowedRegions} = parameters;
 	const {service, customer} = policy;
 	const method = req.method ?? 'GET';
 	const path = req.url ?? '/';
@@ -434,5 +434,6 @@
 		key,
 		origin,
 		fingerprint: fingerprint({service, customer, method, path, key, body}),
+		allowedRegions,
 	};
 }
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -18,6 +18,11 @@
 /** Reasons that earlier builds cannot decode, with the reason that these read instead. */
 const earlierReasons: Readonly<Partial<Record<RefusalReason, RefusalReason>>> = {
 	[RefusalReason.RateLimited]: RefusalReason.Busy,
+	[RefusalReason.BackendCold]: RefusalReason.Busy,
+	[RefusalReason.ZoneEvacuated]: RefusalReason.Draining,
+	[RefusalReason.RegionNotAllowed]: RefusalReason.NoBackend,
+	[RefusalReason.UnknownKey]: RefusalReason.NoBackend,
+	[RefusalReason.QuotaExceeded]: RefusalReason.CustomerShare,
 };
 const attemptStates = [
 	AttemptState.Fenced,
--- a/src/routing/__tests__/unit/executor-sampler.test.ts
+++ b/src/routing/__tests__/unit/executor-sampler.test.ts
@@ -28,7 +28,7 @@
 	it('returns all members of a small service', () => {
 		const {directory, self, members} = createFixture(40);
 		const sampled = new Set(
-			new ExecutorSampler(directory, self, createRandom(1)).sample('s', none),
+			new ExecutorSampler(directory, self, createRandom(1)).sample({service: 's', excluded: none}),
 		);
 		expect(sampled).toEqual(new Set(members));
 	});
@@ -38,7 +38,7 @@
 		const sampler = new ExecutorSampler(directory, self, createRandom(1));
 		const counts = new Map<Member, number>();
 		for (let i = 0; i < 540; i++) {
-			const sampled = [...sampler.sample('s', none)];
+			const sampled = [...sampler.sample({service: 's', excluded: none})];
 			expect(sampled.length).toBeLessThanOrEqual(18);
 			for (const member of sampled) {
 				counts.set(member, (counts.get(member) ?? 0) + 1);
@@ -57,10 +57,10 @@
 		const sampler = new ExecutorSampler(directory, self, createRandom(1));
 		const far = members[105]!;
 		sampler.recordReport(far.id);
-		expect([...sampler.sample('s', none)]).toContain(far);
-		expect([...sampler.sample('s', new Set([far.id]))]).not.toContain(far);
+		expect([...sampler.sample({service: 's', excluded: none})]).toContain(far);
+		expect([...sampler.sample({service: 's', excluded: new Set([far.id])})]).not.toContain(far);
 		directory.remove(far.id);
-		expect([...sampler.sample('s', none)]).not.toContain(far);
+		expect([...sampler.sample({service: 's', excluded: none})]).not.toContain(far);
 	});
 
 	it('finds the only serving member among many draining ones', () => {
@@ -69,9 +69,12 @@
 			directory.merge({...member, version: 2, phase: MemberPhase.Draining});
 		}
 
-		expect([...new ExecutorSampler(directory, self, createRandom(1)).sample('s', none)]).toEqual([
-			members[0],
-		]);
+		expect([
+			...new ExecutorSampler(directory, self, createRandom(1)).sample({
+				service: 's',
+				excluded: none,
+			}),
+		]).toEqual([members[0]]);
 	});
 
 	it('sends calls to a member that has just joined', () => {
--- a/src/routing/executor-sampler.ts
+++ b/src/routing/executor-sampler.ts
@@ -6,6 +6,7 @@
 	type Member,
 } from '../membership/index.js';
 import type {Random} from '../random/index.js';
+import type {PlacementQuery} from './placement.js';
 
 /** Maximum number of members of a large service that one choice evaluates, by distance. */
 const maxSampled: Readonly<Record<Distance, number>> = {
@@ -18,6 +19,9 @@
 /** Services with up to this number of members are evaluated in full. */
 const defaultMaxSmallServiceSize = 40;
 
+/** Part of a placement query that selects members. */
+type SampleQuery = Pick<PlacementQuery, 'service' | 'excluded' | 'allowedRegions'>;
+
 type ServiceMembers = {
 	readonly revision: number;
 	readonly size: number;
@@ -43,13 +47,15 @@
 	) {}
 
 	/**
-	 * @param service - name of a service.
-	 * @param excluded - ids of members to leave out.
+	 * @param query - service of a call, and the members and regions that are left out.
 	 * @returns the sampled routable members.
 	 */
-	sample(service: string, excluded: ReadonlySet<string>): Iterable<Member> {
+	sample({service, excluded, allowedRegions}: SampleQuery): Iterable<Member> {
 		const {size, byDistance} = this.membersOf(service);
-		const canServe = (member: Member) => isRoutable(member) && !excluded.has(member.id);
+		const canServe = (member: Member) =>
+			isRoutable(member) &&
+			!excluded.has(member.id) &&
+			(allowedRegions?.includes(member.region) ?? true);
 		const sampled = new Set<Member>();
 		const isSmall = size <= this.maxSmallServiceSize;
 		for (const distance of [Distance.SameZone, Distance.SameRegion, Distance.OtherRegion]) {
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -160,7 +160,7 @@
 
 	retryAfterHint(query: PlacementQuery): Millis | undefined {
 		let shortest: Millis | undefined;
-		for (const member of this.executors.sample(query.service, query.excluded)) {
+		for (const member of this.executors.sample(query)) {
 			const {time} = this.evaluate(query, member);
 			shortest = Math.min(shortest ?? time, time);
 		}
@@ -220,7 +220,7 @@
 
 	private findBest(query: PlacementQuery): Evaluation | undefined {
 		let best: Evaluation | undefined;
-		for (const member of this.executors.sample(query.service, query.excluded)) {
+		for (const member of this.executors.sample(query)) {
 			const evaluation = this.evaluate(query, member);
 			if (!best || evaluation.loss < best.loss) {
 				best = evaluation;
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -19,6 +19,8 @@
 	readonly requestBytes: number;
 	/** Members that have been tried already. */
 	readonly excluded: ReadonlySet<string>;
+	/** Regions that the call may be sent to; undefined for any. */
+	readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** Result of an attempt, as used for later placements. */
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -319,8 +319,9 @@
 	}
 
 	private applyConfiguration(index: DeclarationIndex): void {
-		const {routes = [], callerLimits} = index.declaration;
-		this.lowestPriority = Math.max(0, ...routes.map(({priority}) => priority));
+		const {routes = [], customers = [], callerLimits} = index.declaration;
+		const priorities = [...routes, ...customers].map(({priority = 0}) => priority);
+		this.lowestPriority = Math.max(0, ...priorities);
 		if (callerLimits) {
 			this.ingress.setIdleTimeout(callerLimits.idleTimeout + idleMargin);
 		}
