Send configurations between nodes as deltas

Cause: each node fetched the whole content of each version from the node that reported it. Change: a node names the content that it holds and gets the changed items only; the hash of the result is checked, and the full content is the way back. Older nodes ignore the new fields and send the full content.

--- a/src/control/content-fetcher.ts
+++ b/src/control/content-fetcher.ts
@@ -1,5 +1,5 @@
 import type {RevisionTracker} from '../declaration/index.js';
-import type {LinkHub} from '../link/index.js';
+import type {LinkHub, PeerSession} from '../link/index.js';
 import {isPresent, type Gossip} from '../membership/index.js';
 import {sample, type Random} from '../random/index.js';
 import {logEvents, type Logger} from '../telemetry/index.js';
@@ -43,10 +43,12 @@
 		const {revisions, logger} = this.deps;
 		this.fetching.add(hash);
 		try {
-			const content =
-				(await this.deps.readFromStore(hash)) ?? (await this.fetchFromPeers(hash, reporter));
+			const content = await this.deps.readFromStore(hash);
 			if (content !== undefined) {
 				revisions.addContent(hash, content);
+			}
+
+			if (content !== undefined || (await this.fetchFromPeers(hash, reporter))) {
 				logger.log(logEvents.revisionHeld, {hash, teller: reporter});
 				this.deps.contentAdded();
 			}
@@ -57,10 +59,7 @@
 		}
 	}
 
-	private async fetchFromPeers(
-		hash: string,
-		reporter: string | undefined,
-	): Promise<string | undefined> {
+	private async fetchFromPeers(hash: string, reporter: string | undefined): Promise<boolean> {
 		const {gossip, hub} = this.deps;
 		const self = gossip.localMember;
 		for (const id of this.candidatePeers(reporter)) {
@@ -70,13 +69,45 @@
 
 			// Sequential, as one copy is enough.
 			const session = await hub.connect(id); // eslint-disable-line no-await-in-loop
-			const content = await session?.fetchContent(hash); // eslint-disable-line no-await-in-loop
-			if (content !== undefined) {
-				return content;
+			// eslint-disable-next-line no-await-in-loop
+			if (session && (await this.fetchFrom(session, hash))) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	// A full content of many routes takes a narrow link longer than a configuration may take to be in force, so a
+	// delta is asked for first. The hash shows whether it makes the requested content.
+	private async fetchFrom(session: PeerSession, hash: string): Promise<boolean> {
+		const {revisions} = this.deps;
+		const base = revisions.heldHash;
+		let reply = await session.fetchContent(hash, base === '' ? undefined : base);
+		if (reply.delta !== undefined) {
+			if (this.tryAddDelta(hash, base, reply.delta)) {
+				return true;
 			}
+
+			reply = await session.fetchContent(hash, undefined);
+		}
+
+		if (reply.content === undefined) {
+			return false;
 		}
 
-		return undefined;
+		revisions.addContent(hash, reply.content);
+		return true;
+	}
+
+	private tryAddDelta(hash: string, base: string, delta: string): boolean {
+		try {
+			this.deps.revisions.addDelta(hash, base, delta);
+			return true;
+		} catch (err) {
+			this.deps.logger.log(logEvents.deltaRejected, {hash, base, error: String(err)});
+			return false;
+		}
 	}
 
 	private candidatePeers(reporter: string | undefined): string[] {
--- a/src/declaration/index.ts
+++ b/src/declaration/index.ts
@@ -8,6 +8,12 @@
 	RouteTarget,
 	ServicePolicy,
 } from './declaration.js';
+export {
+	applyDelta,
+	diffDeclarations,
+	sortDeclaration,
+	type DeclarationDelta,
+} from './declaration-delta.js';
 export {DeclarationIndex, isIdempotent} from './declaration-index.js';
 export {
 	accept,
--- a/src/declaration/revision-tracker.ts
+++ b/src/declaration/revision-tracker.ts
@@ -1,6 +1,7 @@
 import type {Undo} from '../clock/index.js';
 import {hashBytes} from '../util/index.js';
 import type {Declaration} from './declaration.js';
+import {applyDelta, diffDeclarations, type DeclarationDelta} from './declaration-delta.js';
 import {DeclarationIndex} from './declaration-index.js';
 
 /** The newest revisions that a node or the store knows. */
@@ -20,6 +21,8 @@
 	override name = 'DeclarationContentError';
 }
 
+/** Earlier contents from which deltas are made: a peer that lags further behind fetches the full content. */
+const maxEarlierContents = 6;
 const noRevisions: KnownRevisions = {accepted: 0, acceptedHash: '', staged: 0, stagedHash: ''};
 
 /**
@@ -64,6 +67,9 @@
 	private newest = noRevisions;
 	private readonly contents = new Map<string, Declaration>();
 	private readonly texts = new Map<string, string>();
+	/** Contents of the last revisions in force, the newest last; the base of deltas that peers ask for. */
+	private readonly earlier = new Map<string, string>();
+	private readonly deltas = new Map<string, string>();
 	private readonly listeners = new Set<(index: DeclarationIndex) => void>();
 	private index: DeclarationIndex | undefined;
 
@@ -146,6 +152,51 @@
 		this.removeUnreferenced();
 	}
 
+	/** Hash of the newest content that this node holds; empty before the first. */
+	get heldHash(): string {
+		return [...this.contents.keys()].at(-1) ?? '';
+	}
+
+	/**
+	 * @param hash - hash of a content that this node holds.
+	 * @param base - hash of a content that a peer holds.
+	 * @returns the delta between them, serialized; undefined when this node lacks one of them, or when the delta is
+	 * not shorter than the content.
+	 */
+	deltaOf(hash: string, base: string): string | undefined {
+		const known = this.deltas.get(`${base} ${hash}`);
+		const next = this.contents.get(hash);
+		const baseText = this.earlier.get(base) ?? this.texts.get(base);
+		if (known !== undefined || !next || baseText === undefined) {
+			return known;
+		}
+
+		const delta = JSON.stringify(diffDeclarations(parseContent(baseText), next));
+		if (delta.length >= (this.texts.get(hash)?.length ?? 0)) {
+			return undefined;
+		}
+
+		this.deltas.set(`${base} ${hash}`, delta);
+		return delta;
+	}
+
+	/**
+	 * Makes the content of a revision out of an earlier one and stores it like {@link addContent}.
+	 * @param hash - the hash by which the content was requested.
+	 * @param base - hash of the content that the delta starts from.
+	 * @param delta - the serialized delta.
+	 * @throws {@link DeclarationContentError} when the result does not match the hash.
+	 */
+	addDelta(hash: string, base: string, delta: string): void {
+		const declaration = this.contents.get(base);
+		if (!declaration) {
+			throw new DeclarationContentError('the content that the delta starts from is not held');
+		}
+
+		const parsed = JSON.parse(delta) as DeclarationDelta; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		this.addContent(hash, serializeDeclaration(applyDelta(declaration, parsed)));
+	}
+
 	/**
 	 * @param listener - called when a revision comes into force.
 	 * @returns a function that ends the registration.
@@ -174,9 +225,22 @@
 		const {acceptedHash, stagedHash} = this.newest;
 		for (const hash of this.contents.keys()) {
 			if (hash !== acceptedHash && hash !== stagedHash) {
+				this.keepEarlier(hash);
 				this.contents.delete(hash);
 				this.texts.delete(hash);
 			}
 		}
 	}
+
+	private keepEarlier(hash: string): void {
+		this.deltas.clear();
+		this.earlier.set(hash, this.texts.get(hash) ?? '');
+		for (const oldest of this.earlier.keys()) {
+			if (this.earlier.size <= maxEarlierContents) {
+				return;
+			}
+
+			this.earlier.delete(oldest);
+		}
+	}
 }
--- a/src/link/__tests__/unit/frame-codec.test.ts
+++ b/src/link/__tests__/unit/frame-codec.test.ts
@@ -59,8 +59,10 @@
 	{type: FrameType.Heartbeat},
 	{type: FrameType.Leaving},
 	{type: FrameType.Load, load},
-	{type: FrameType.Fetch, correlationId: 3, hash: 'h'},
-	{type: FrameType.FetchResult, correlationId: 3, content: undefined},
+	{type: FrameType.Fetch, correlationId: 3, hash: 'h', base: undefined},
+	{type: FrameType.Fetch, correlationId: 3, hash: 'h', base: 'b'},
+	{type: FrameType.FetchResult, correlationId: 3, content: undefined, delta: undefined},
+	{type: FrameType.FetchResult, correlationId: 3, content: undefined, delta: '{}'},
 	{type: FrameType.HandoverAck, correlationId: 4},
 ];
 
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -144,11 +144,11 @@
 		}
 
 		case FrameType.Fetch: {
-			return [type, frame.correlationId, frame.hash];
+			return [type, frame.correlationId, frame.hash, frame.base];
 		}
 
 		case FrameType.FetchResult: {
-			return [type, frame.correlationId, frame.content];
+			return [type, frame.correlationId, frame.content, frame.delta];
 		}
 
 		case FrameType.Handover: {
@@ -416,11 +416,13 @@
 		type: FrameType.Fetch,
 		correlationId: fields.number(),
 		hash: fields.text(),
+		base: fields.optionalText(),
 	}),
 	[FrameType.FetchResult]: (fields) => ({
 		type: FrameType.FetchResult,
 		correlationId: fields.number(),
 		content: fields.optionalText(),
+		delta: fields.optionalText(),
 	}),
 	[FrameType.Handover]: (fields) => ({
 		type: FrameType.Handover,
--- a/src/link/frame.ts
+++ b/src/link/frame.ts
@@ -181,6 +181,8 @@
 	readonly type: FrameType.Fetch;
 	readonly correlationId: number;
 	readonly hash: string;
+	/** Hash of a content that the sender holds, from which the receiver may send a delta. */
+	readonly base: string | undefined;
 }
 
 export interface FetchResultFrame {
@@ -188,6 +190,8 @@
 	readonly correlationId: number;
 	/** Undefined when the sender does not have the content. */
 	readonly content: string | undefined;
+	/** Serialized delta from the base that was named; undefined when the content is sent in full. */
+	readonly delta: string | undefined;
 }
 
 /** Idempotency key records of a leaving node. */
--- a/src/link/index.ts
+++ b/src/link/index.ts
@@ -3,4 +3,4 @@
 export {FrameType, OpenTarget, protocolVersion, type Frame} from './frame.js';
 export {LinkCloseReason, type PeerIdentity} from './link.js';
 export {LinkHub, type LinkHubDelegate, type LinkHubDependencies} from './link-hub.js';
-export {PeerSession} from './peer-session.js';
+export {PeerSession, type ContentReply} from './peer-session.js';
--- a/src/link/link-hub.ts
+++ b/src/link/link-hub.ts
@@ -187,7 +187,7 @@
 			staleness: () => delegate.staleness(),
 			runnerFor: (target) => delegate.runnerFor(target),
 			queryAndFence: (instance, sequence) => delegate.queryAndFence(instance, sequence),
-			getContent: (hash) => delegate.getContent(hash),
+			getContent: (hash, base) => delegate.getContent(hash, base),
 			acceptHandover(from, records) {
 				delegate.acceptHandover(from, records);
 			},
--- a/src/link/peer-session.ts
+++ b/src/link/peer-session.ts
@@ -14,6 +14,14 @@
 import {heartbeatPeriod, maxStreams, requestTimeout, silenceTimeout} from './link-limits.js';
 import {LossKind, OutgoingAttempt, type OutgoingAttemptDelegate} from './outgoing-attempt.js';
 
+/** Content of a configuration revision, in full or as a serialized delta from a content that the receiver holds. */
+export interface ContentReply {
+	readonly content: string | undefined;
+	readonly delta: string | undefined;
+}
+
+const noContent: ContentReply = {content: undefined, delta: undefined};
+
 /** Callbacks of a session into its node. */
 export interface PeerSessionDelegate extends Omit<OutgoingAttemptDelegate, 'streamEnded'> {
 	/** @returns monotonic time in ms. */
@@ -40,9 +48,10 @@
 	queryAndFence(instance: string, sequence: number): AttemptState;
 	/**
 	 * @param hash - hash of a configuration's content.
-	 * @returns the content, if this node has it.
+	 * @param base - hash of a content that the peer holds.
+	 * @returns the content or a delta from the base, if this node has it.
 	 */
-	getContent(hash: string): string | undefined;
+	getContent(hash: string, base: string | undefined): ContentReply;
 	/**
 	 * Takes over the key records of a leaving peer.
 	 * @param from - id of the peer.
@@ -146,15 +155,18 @@
 
 	/**
 	 * @param hash - hash of a configuration's content.
-	 * @returns the content; undefined when the peer does not have it or did not reply.
+	 * @param base - hash of a content that this node holds; undefined to get the content in full.
+	 * @returns the content, or a delta from the base; neither when the peer does not have it or did not reply.
 	 */
-	async fetchContent(hash: string): Promise<string | undefined> {
+	async fetchContent(hash: string, base: string | undefined): Promise<ContentReply> {
 		const frame = await this.request(FrameType.FetchResult, (correlationId) => ({
 			type: FrameType.Fetch,
 			correlationId,
 			hash,
+			base,
 		}));
-		return frame?.type === FrameType.FetchResult ? frame.content : undefined;
+		const {content, delta} = frame?.type === FrameType.FetchResult ? frame : noContent;
+		return {content, delta};
 	}
 
 	/**
@@ -238,8 +250,9 @@
 			}
 
 			case FrameType.Fetch: {
-				const content = this.delegate.getContent(frame.hash);
-				this.link.send({type: FrameType.FetchResult, correlationId: frame.correlationId, content});
+				const {content, delta} = this.delegate.getContent(frame.hash, frame.base);
+				const {correlationId} = frame;
+				this.link.send({type: FrameType.FetchResult, correlationId, content, delta});
 				return true;
 			}
 
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -141,6 +141,12 @@
 		error,
 		'A configuration revision could not be used.',
 	),
+	deltaRejected: event(
+		510,
+		'delta-rejected',
+		info,
+		'A delta did not make the requested content; the content is fetched in full.',
+	),
 	revisionRestored: event(
 		503,
 		'revision-restored',
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -6,7 +6,7 @@
 import type {AttemptRunner} from '../exchange/index.js';
 import {BackendClient, Executor, type BackendProtocol} from '../executor/index.js';
 import {CallRunner, type BudgetBursts} from '../ingress/index.js';
-import {LinkHub, OpenTarget, type LinkHubDelegate} from '../link/index.js';
+import {LinkHub, OpenTarget, type ContentReply, type LinkHubDelegate} from '../link/index.js';
 import {
 	createLocalMember,
 	defaultGossipSettings,
@@ -272,6 +272,11 @@
 		});
 	}
 
+	private getContent(hash: string, base: string | undefined): ContentReply {
+		const delta = base === undefined ? undefined : this.revisions.deltaOf(hash, base);
+		return {content: delta === undefined ? this.revisions.contentOf(hash) : undefined, delta};
+	}
+
 	private createHub(): LinkHub {
 		const {region, secret, address} = this.settings;
 		const avoid = (id: string) => {
@@ -288,7 +293,7 @@
 				runnerFor: (target) =>
 					target === OpenTarget.Executor ? this.executor : this.hooks.keyOwnerRunner,
 				queryAndFence: (peer, sequence) => this.executor.queryAndFence({instance: peer, sequence}),
-				getContent: (hash) => this.revisions.contentOf(hash),
+				getContent: (hash, base) => this.getContent(hash, base),
 				acceptHandover: (from, records) => {
 					this.hooks.takeHandover(from, records);
 				},
