--- a/src/control/content-fetcher.ts
+++ b/src/control/content-fetcher.ts
@@ -83,17 +83,19 @@
 	private async fetchFrom(session: PeerSession, hash: string): Promise<boolean> {
 		const {revisions} = this.deps;
 		const base = revisions.heldHash;
+		const isMissing = () => revisions.missing().includes(hash);
 		let reply = await session.fetchContent(hash, base === '' ? undefined : base);
 		if (reply.delta !== undefined) {
-			if (this.tryAddDelta(hash, base, reply.delta)) {
+			// Meanwhile the content may have come another way, or a newer revision may have taken its place.
+			if (!isMissing() || this.tryAddDelta(hash, base, reply.delta)) {
 				return true;
 			}
 
 			reply = await session.fetchContent(hash, undefined);
 		}
 
-		if (reply.content === undefined) {
-			return false;
+		if (reply.content === undefined || !isMissing()) {
+			return !isMissing();
 		}
 
 		revisions.addContent(hash, reply.content);
--- a/src/declaration/revision-tracker.ts
+++ b/src/declaration/revision-tracker.ts
@@ -188,7 +188,8 @@
 	 * @throws {@link DeclarationContentError} when the result does not match the hash.
 	 */
 	addDelta(hash: string, base: string, delta: string): void {
-		const declaration = this.contents.get(base);
+		const text = this.texts.get(base) ?? this.earlier.get(base);
+		const declaration = this.contents.get(base) ?? (text && parseContent(text));
 		if (!declaration) {
 			throw new DeclarationContentError('the content that the delta starts from is not held');
 		}
--- a/src/link/__tests__/unit/frame-codec.test.ts
+++ b/src/link/__tests__/unit/frame-codec.test.ts
@@ -61,8 +61,30 @@
 	{type: FrameType.Load, load},
 	{type: FrameType.Fetch, correlationId: 3, hash: 'h', base: undefined},
 	{type: FrameType.Fetch, correlationId: 3, hash: 'h', base: 'b'},
-	{type: FrameType.FetchResult, correlationId: 3, content: undefined, delta: undefined},
-	{type: FrameType.FetchResult, correlationId: 3, content: undefined, delta: '{}'},
+	{
+		type: FrameType.FetchResult,
+		correlationId: 3,
+		content: undefined,
+		delta: undefined,
+		deflated: undefined,
+		isDelta: false,
+	},
+	{
+		type: FrameType.FetchResult,
+		correlationId: 3,
+		content: undefined,
+		delta: '{}',
+		deflated: undefined,
+		isDelta: true,
+	},
+	{
+		type: FrameType.FetchResult,
+		correlationId: 3,
+		content: undefined,
+		delta: undefined,
+		deflated: Buffer.from([1, 2]),
+		isDelta: true,
+	},
 	{type: FrameType.HandoverAck, correlationId: 4},
 ];
 
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -148,7 +148,8 @@
 		}
 
 		case FrameType.FetchResult: {
-			return [type, frame.correlationId, frame.content, frame.delta];
+			const {correlationId, content, delta, deflated, isDelta} = frame;
+			return [type, correlationId, content, delta, deflated, isDelta];
 		}
 
 		case FrameType.Handover: {
@@ -215,6 +216,10 @@
 		return this.optional(() => this.bytes());
 	}
 
+	optionalFlag(): boolean {
+		return this.optional(() => this.flag()) ?? false;
+	}
+
 	headers(): HeaderList {
 		const value = this.list();
 		const headers: HeaderList = [];
@@ -423,6 +428,8 @@
 		correlationId: fields.number(),
 		content: fields.optionalText(),
 		delta: fields.optionalText(),
+		deflated: fields.optionalBytes(),
+		isDelta: fields.optionalFlag(),
 	}),
 	[FrameType.Handover]: (fields) => ({
 		type: FrameType.Handover,
--- a/src/link/frame.ts
+++ b/src/link/frame.ts
@@ -181,7 +181,10 @@
 	readonly type: FrameType.Fetch;
 	readonly correlationId: number;
 	readonly hash: string;
-	/** Hash of a content that the sender holds, from which the receiver may send a delta. */
+	/**
+	 * Hash of a content that the sender holds, from which the receiver may send a delta; empty for none. Undefined
+	 * from older nodes, which accept neither deltas nor compressed texts.
+	 */
 	readonly base: string | undefined;
 }
 
@@ -192,6 +195,10 @@
 	readonly content: string | undefined;
 	/** Serialized delta from the base that was named; undefined when the content is sent in full. */
 	readonly delta: string | undefined;
+	/** Compressed content or delta, in the place of either. */
+	readonly deflated: Uint8Array | undefined;
+	/** Whether the compressed text is a delta. */
+	readonly isDelta: boolean;
 }
 
 /** Idempotency key records of a leaving node. */
--- a/src/link/link-hub.ts
+++ b/src/link/link-hub.ts
@@ -16,11 +16,12 @@
 import {Link, LinkCloseReason, LinkRole, type LinkOwner, type PeerIdentity} from './link.js';
 import {heartbeatPeriod, maxFrameBytes, openTimeout} from './link-limits.js';
 import {PeerSession, type PeerSessionDelegate} from './peer-session.js';
+import {TextDeflater} from './text-compression.js';
 
 /** Callbacks of the hub into its node. */
 export interface LinkHubDelegate extends Omit<
 	PeerSessionDelegate,
-	'resolveLostAttempt' | 'now' | 'after' | 'lateFrame' | 'callStarted'
+	'resolveLostAttempt' | 'now' | 'after' | 'lateFrame' | 'callStarted' | 'deflate'
 > {
 	/** Nothing was received within the silence timeout from a peer with calls in flight. */
 	peerSilent(id: string): void;
@@ -48,6 +49,7 @@
 	private readonly dials = new Map<string, Dial>();
 	private readonly dialCallbacks = new Map<Link, (session: PeerSession | undefined) => void>();
 	private readonly unauthenticated = new Set<Link>();
+	private readonly deflater = new TextDeflater();
 	private readonly owner: LinkOwner;
 	private readonly sessionDelegate: PeerSessionDelegate;
 	private server: WebSocketServer | undefined;
@@ -188,6 +190,7 @@
 			runnerFor: (target) => delegate.runnerFor(target),
 			queryAndFence: (instance, sequence) => delegate.queryAndFence(instance, sequence),
 			getContent: (hash, base) => delegate.getContent(hash, base),
+			deflate: (text) => this.deflater.deflate(text),
 			acceptHandover(from, records) {
 				delegate.acceptHandover(from, records);
 			},
--- a/src/link/peer-session.ts
+++ b/src/link/peer-session.ts
@@ -8,10 +8,18 @@
 	type AttemptRunner,
 } from '../exchange/index.js';
 import {withResolvers} from '../util/index.js';
-import {FrameType, OpenTarget, type Frame, type OpenFrame} from './frame.js';
+import {
+	FrameType,
+	OpenTarget,
+	type FetchFrame,
+	type FetchResultFrame,
+	type Frame,
+	type OpenFrame,
+} from './frame.js';
 import {IncomingAttempt} from './incoming-attempt.js';
 import type {Link} from './link.js';
 import {heartbeatPeriod, maxStreams, requestTimeout, silenceTimeout} from './link-limits.js';
+import {inflateText} from './text-compression.js';
 import {LossKind, OutgoingAttempt, type OutgoingAttemptDelegate} from './outgoing-attempt.js';
 
 /** Content of a configuration revision, in full or as a serialized delta from a content that the receiver holds. */
@@ -52,6 +60,11 @@
 	 * @returns the content or a delta from the base, if this node has it.
 	 */
 	getContent(hash: string, base: string | undefined): ContentReply;
+	/**
+	 * @param text - a text for a peer.
+	 * @returns the compressed text; undefined when compression is not worth it.
+	 */
+	deflate(text: string): Uint8Array | undefined;
 	/**
 	 * Takes over the key records of a leaving peer.
 	 * @param from - id of the peer.
@@ -163,10 +176,9 @@
 			type: FrameType.Fetch,
 			correlationId,
 			hash,
-			base,
+			base: base ?? '',
 		}));
-		const {content, delta} = frame?.type === FrameType.FetchResult ? frame : noContent;
-		return {content, delta};
+		return frame?.type === FrameType.FetchResult ? readContent(frame) : noContent;
 	}
 
 	/**
@@ -250,9 +262,7 @@
 			}
 
 			case FrameType.Fetch: {
-				const {content, delta} = this.delegate.getContent(frame.hash, frame.base);
-				const {correlationId} = frame;
-				this.link.send({type: FrameType.FetchResult, correlationId, content, delta});
+				this.sendContent(frame);
 				return true;
 			}
 
@@ -283,6 +293,21 @@
 		}
 	}
 
+	private sendContent({correlationId, hash, base}: FetchFrame): void {
+		const {content, delta} = this.delegate.getContent(hash, base);
+		const text = delta ?? content;
+		const isCompressing = base !== undefined && text !== undefined;
+		const deflated = isCompressing ? this.delegate.deflate(text) : undefined;
+		this.link.send({
+			type: FrameType.FetchResult,
+			correlationId,
+			content: deflated ? undefined : content,
+			delta: deflated ? undefined : delta,
+			deflated,
+			isDelta: delta !== undefined,
+		});
+	}
+
 	private receiveOpen(frame: OpenFrame): boolean {
 		const {stream} = frame;
 		if (this.link.isOwnStream(stream) || this.incoming.has(stream)) {
@@ -353,3 +378,12 @@
 		return promise;
 	}
 }
+
+function readContent({content, delta, deflated, isDelta}: FetchResultFrame): ContentReply {
+	if (!deflated) {
+		return {content, delta};
+	}
+
+	const text = inflateText(deflated);
+	return isDelta ? {content: undefined, delta: text} : {content: text, delta: undefined};
+}
