Forward pipelined requests by rules of the connection

The ingress started all pipelined requests of a connection at once, and closed the connection behind an answer although requests behind it had been passed on, so that callers sent requests again that had run. Requests behind the one that Node writes to were not canceled when the caller left, and a parse error behind a valid request was answered with 400 in place of the answer.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -5,6 +5,7 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
+import {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {KeyedCalls} from '../claims/index.js';
 import {
@@ -20,14 +21,16 @@
 import {
 	AttemptEnd,
 	Cancellation,
+	maxInlineBodyBytes,
 	type AnsweredAttempt,
 	type Body,
 	type Call,
 	type CallEnd,
 } from '../exchange/index.js';
-import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
+import {logEvents, PipelineHandling, type Logger, type Metrics} from '../telemetry/index.js';
 import {bindPort} from '../net/index.js';
 import {withResolvers} from '../util/index.js';
+import {CallerConnection, ConnectionClosedError, type CallerTurn} from './caller-connection.js';
 import {
 	RefusedRequestError,
 	type CallerProtocol,
@@ -35,7 +38,9 @@
 	type RefusalNotice,
 } from './caller-protocol.js';
 import {fingerprint} from './fingerprint.js';
-import {readRequestBody, RequestBodyError} from './request-body.js';
+import {ParseFailureAction} from './parse-failure.js';
+import {hasBody, readRequestBody, RequestBodyError} from './request-body.js';
+import type {PipelineLimits} from './request-pipeline.js';
 
 export interface IngressDependencies {
 	readonly clock: Clock;
@@ -55,6 +60,12 @@
 const headTimeout: Millis = 10 * second;
 const requestTimeout: Millis = 60 * second;
 const idleTimeout: Millis = 15 * second;
+/** A caller that sends more requests ahead waits for the first answers; see docs/design/caller-connections.md. */
+const pipelineLimits: PipelineLimits = {
+	maxForwarded: 16,
+	maxUnanswered: 32,
+	maxHeldBytes: 4 * maxInlineBodyBytes,
+};
 /** Path that issues an idempotency key owned by this node. */
 const issuePath = '/turmeric/keys';
 
@@ -62,6 +73,7 @@
 export class Ingress {
 	private readonly server: Server;
 	private readonly calls = new Set<ServerResponse>();
+	private readonly connections = new WeakMap<Duplex, CallerConnection>();
 	private isDraining = false;
 
 	constructor(private readonly deps: IngressDependencies) {
@@ -80,12 +92,12 @@
 				void this.handle(req, res);
 			},
 		);
+		// Without this listener, the server would ask for the body of a request that may be refused.
 		this.server.on('checkContinue', (req: IncomingMessage, res: ServerResponse) => {
-			res.writeContinue();
 			void this.handle(req, res);
 		});
 		this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Duplex) => {
-			this.refuseBadRequest(err, socket);
+			this.handleParseFailure(err, socket);
 		});
 	}
 
@@ -124,13 +136,18 @@
 
 	private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const startedAt = this.deps.clock.now();
+		const turn = this.connectionOf(req.socket).receive(req, res);
+		if (!turn) {
+			return;
+		}
+
 		this.calls.add(res);
 		this.deps.metrics.inFlight.set(this.calls.size);
 		let outcome = Outcome.NotRun;
 		try {
-			outcome = await this.answer(req, res);
+			outcome = await this.answer(req, turn);
 		} catch (err) {
-			outcome = this.answerError(err, req, res);
+			outcome = await this.answerError(err, turn);
 		} finally {
 			this.calls.delete(res);
 			const {metrics, clock} = this.deps;
@@ -140,25 +157,53 @@
 		}
 	}
 
-	private async answer(req: IncomingMessage, res: ServerResponse): Promise<Outcome> {
-		if (this.calls.size > maxInFlight) {
-			throw new RefusedRequestError(RefusalReason.TooManyCalls);
+	private connectionOf(socket: Socket): CallerConnection {
+		const known = this.connections.get(socket);
+		if (known) {
+			return known;
 		}
 
-		const index = this.deps.configuration();
-		if (!index) {
-			throw new RefusedRequestError(RefusalReason.NotReady);
+		const connection = new CallerConnection(socket, {
+			clock: this.deps.clock,
+			limits: pipelineLimits,
+			isDraining: () => this.isDraining,
+			handleUnanswered: ({canceled, notForwarded}) => {
+				const {logger, metrics} = this.deps;
+				metrics.unansweredRequests.inc({state: 'forwarded'}, canceled);
+				metrics.unansweredRequests.inc({state: 'waiting'}, notForwarded);
+				if (canceled + notForwarded > 1) {
+					logger.log(logEvents.requestsUnanswered, {canceled, notForwarded});
+				}
+			},
+		});
+		this.connections.set(socket, connection);
+		return connection;
+	}
+
+	private async answer(req: IncomingMessage, turn: CallerTurn): Promise<Outcome> {
+		if (this.calls.size > maxInFlight) {
+			throw new RefusedRequestError(RefusalReason.TooManyCalls);
 		}
 
+		const index = this.requireConfiguration();
 		const {keyedCalls} = this.deps;
 		if (keyedCalls && req.url === issuePath && req.method === 'POST') {
-			return this.issueKey(req, res, keyedCalls);
+			return this.issueKey(req, turn, keyedCalls);
 		}
 
 		checkHead(req);
-		const call = await this.createCall(req, res, index);
+		const call = await this.createCall(req, turn, index);
 		const end = await this.run(call);
-		return this.sendEnd(res, call, end);
+		return this.sendEnd(turn, call, end);
+	}
+
+	private requireConfiguration(): DeclarationIndex {
+		const index = this.deps.configuration();
+		if (!index) {
+			throw new RefusedRequestError(RefusalReason.NotReady);
+		}
+
+		return index;
 	}
 
 	private async run(call: Call): Promise<CallEnd> {
@@ -171,42 +216,64 @@
 		return keyedCalls.run(call, key);
 	}
 
-	private issueKey(req: IncomingMessage, res: ServerResponse, keyedCalls: KeyedCalls): Outcome {
+	private async issueKey(
+		req: IncomingMessage,
+		turn: CallerTurn,
+		keyedCalls: KeyedCalls,
+	): Promise<Outcome> {
 		req.resume();
+		turn.refuse();
 		const key = keyedCalls.issueKey();
-		this.writeHead(res, 201, ['content-type', 'application/json']);
-		res.end(`${JSON.stringify({key})}\n`);
+		const text = `${JSON.stringify({key})}\n`;
+		if (!(await turn.waitToAnswer(text.length, true))) {
+			return Outcome.NotRun;
+		}
+
+		this.writeHead(turn.res, 201, ['content-type', 'application/json']);
+		turn.res.end(text);
 		return Outcome.Answered;
 	}
 
 	private async createCall(
 		req: IncomingMessage,
-		res: ServerResponse,
+		turn: CallerTurn,
 		index: DeclarationIndex,
+		startedAt = this.deps.clock.now(),
 	): Promise<Call> {
-		const startedAt = this.deps.clock.now();
 		const parameters = this.deps.protocol.readParameters(req, index);
 		this.checkLength(req, index);
+		const deadline = Deadline.in(startedAt, parameters.timeout);
+		if (!turn.tryForward(parameters.isIdempotent && !hasBody(req))) {
+			await this.waitToForward(turn, deadline);
+			const newest = this.requireConfiguration();
+			if (newest !== index) {
+				// Routes and keys may have changed while earlier requests were answered.
+				return this.createCall(req, turn, newest, startedAt);
+			}
+		}
+
+		if (req.headers.expect !== undefined && hasBody(req)) {
+			turn.res.writeContinue();
+		}
+
 		const body = await readRequestBody(req);
 		const head = createHead(req, parameters, body);
 		const cancellation = new Cancellation();
 		// A call with an idempotency key continues when its caller disconnects, since the caller is expected
 		// to send it again.
 		if (head.key === undefined || head.isIdempotent) {
-			res.once('close', () => {
-				if (!res.writableFinished) {
-					cancellation.cancel();
-				}
+			turn.onLost(() => {
+				cancellation.cancel();
 			});
 		}
 
-		const {policy, service, timeout, objective, elapsed} = parameters;
+		const {policy, service, objective, elapsed} = parameters;
 		return {
 			head,
 			policy,
 			service,
 			index,
-			deadline: Deadline.in(startedAt, timeout),
+			deadline,
 			objective: Deadline.in(startedAt, objective - elapsed),
 			objectiveDuration: objective,
 			body,
@@ -214,6 +281,21 @@
 		};
 	}
 
+	private async waitToForward(turn: CallerTurn, deadline: Deadline): Promise<void> {
+		const {clock, logger, metrics} = this.deps;
+		metrics.pipelinedRequests.inc({handling: PipelineHandling.Waited});
+		const undo = clock.after(deadline.timeLeft(clock.now()), () => {
+			metrics.pipelinedRequests.inc({handling: PipelineHandling.Expired});
+			logger.log(logEvents.requestOutwaited, {path: turn.req.url, unanswered: turn.unanswered});
+			turn.refuseWaiting(new RefusedRequestError(RefusalReason.DeadlinePassed));
+		});
+		try {
+			await turn.permission();
+		} finally {
+			undo();
+		}
+	}
+
 	private checkLength(req: IncomingMessage, index: DeclarationIndex): void {
 		const limit = index.declaration.callerLimits?.maxBodyBytes;
 		if (limit !== undefined && Number(req.headers['content-length'] ?? 0) > limit) {
@@ -221,27 +303,61 @@
 		}
 	}
 
-	private async sendEnd(res: ServerResponse, call: Call, end: CallEnd): Promise<Outcome> {
+	private async sendEnd(turn: CallerTurn, call: Call, end: CallEnd): Promise<Outcome> {
 		const {result} = end;
 		const {protocol} = this.deps;
 		this.logEnd(call, end);
+		if (!turn.isNext) {
+			void this.noteLateAnswer(turn, call);
+		}
+
 		if (result.end === AttemptEnd.Answered) {
-			return this.sendAnswer(res, result, protocol.answerHeaders(call, end));
+			return this.sendAnswer(turn, result, protocol.answerHeaders(call, end));
 		}
 
 		const {reason} = result;
 		const retryAfter = end.retryAfter ?? refusals[reason].retryAfter;
-		return this.sendRefusal(res, {reason, retryAfter}, end);
+		return this.sendRefusal(turn, {reason, retryAfter}, end);
+	}
+
+	private async noteLateAnswer(turn: CallerTurn, call: Call): Promise<void> {
+		const {clock, logger, metrics} = this.deps;
+		await turn.whenNext();
+		const late = clock.now() - call.deadline.at;
+		if (late > 0) {
+			metrics.pipelinedRequests.inc({handling: PipelineHandling.Late});
+			const {requestId, route} = call.head.origin;
+			logger.log(logEvents.answerOutwaited, {request: requestId, route, late: Math.round(late)});
+		}
 	}
 
 	private async sendAnswer(
-		res: ServerResponse,
+		turn: CallerTurn,
 		result: AnsweredAttempt,
 		extraHeaders: HeaderList,
 	): Promise<Outcome> {
 		const {body, status, headers} = result;
+		const {res} = turn;
+		const {stream} = body;
+		const isDelimited = body.isDelimited || !mayHaveContent(turn.req, status);
+		if (!isDelimited) {
+			turn.closeBehind();
+		}
+
+		// A stream that fails before its turn reports this when it is piped.
+		stream?.on('error', () => undefined);
+		if (!(await turn.waitToAnswer(body.bytes?.length ?? maxInlineBodyBytes, false))) {
+			stream?.destroy();
+			return Outcome.Unknown;
+		}
+
+		if (stream?.errored) {
+			const reason = RefusalReason.BackendLost;
+			return this.sendRefusal(turn, {reason, retryAfter: refusals[reason].retryAfter});
+		}
+
 		// With chunked encoding, an undelimited answer that was truncated would look complete.
-		res.useChunkedEncodingByDefault = body.isDelimited;
+		res.useChunkedEncodingByDefault = isDelimited;
 		this.writeHead(res, status, [...headers, ...extraHeaders]);
 		if (body.bytes) {
 			res.end(body.bytes);
@@ -249,7 +365,6 @@
 		}
 
 		const {promise, resolve} = withResolvers<Outcome>();
-		const {stream} = body;
 		stream?.once('end', () => {
 			addTrailers(res, body.trailers);
 			res.end();
@@ -291,13 +406,21 @@
 		});
 	}
 
-	private sendRefusal(res: ServerResponse, notice: RefusalNotice, end?: CallEnd): Outcome {
+	private async sendRefusal(
+		turn: CallerTurn,
+		notice: RefusalNotice,
+		end?: CallEnd,
+	): Promise<Outcome> {
 		const {reason} = notice;
 		const refusal = refusals[reason];
 		this.deps.metrics.refusals.inc({reason});
 		const text = `${JSON.stringify({outcome: refusal.outcome, reason, attempts: end?.attempts})}\n`;
-		this.writeHead(res, refusal.status, this.refusalHeaders(notice, text));
-		res.end(text);
+		// The rest of a refused request is not read.
+		if (await turn.waitToAnswer(text.length, true)) {
+			this.writeHead(turn.res, refusal.status, this.refusalHeaders(notice, text));
+			turn.res.end(text);
+		}
+
 		return refusal.outcome;
 	}
 
@@ -307,16 +430,25 @@
 		return [...headers, ...this.deps.protocol.refusalHeaders(notice)];
 	}
 
-	private answerError(err: unknown, req: IncomingMessage, res: ServerResponse): Outcome {
+	private async answerError(err: unknown, turn: CallerTurn): Promise<Outcome> {
 		const {protocol, logger} = this.deps;
+		const {req, res} = turn;
+		if (err instanceof ConnectionClosedError) {
+			return Outcome.NotRun;
+		}
+
 		if (err instanceof RequestBodyError) {
 			res.destroy();
 			return Outcome.NotRun;
 		}
 
 		if (err instanceof RefusedRequestError && !res.headersSent) {
-			// The rest of the request is not read, so the connection is closed after the refusal.
-			res.shouldKeepAlive = req.complete && err.reason !== RefusalReason.BadRequest;
+			if (err.reason === RefusalReason.BadRequest) {
+				// What follows a malformed head may not be a request.
+				turn.closeBehind();
+			}
+
+			turn.refuse();
 			const reason = protocol.refineReason(req, err.reason);
 			logger.log(logEvents.requestRefused, {
 				host: req.headers.host,
@@ -324,7 +456,7 @@
 				reason,
 				revision: this.deps.configuration()?.revision,
 			});
-			return this.sendRefusal(res, {reason, retryAfter: refusals[reason].retryAfter});
+			return this.sendRefusal(turn, {reason, retryAfter: refusals[reason].retryAfter});
 		}
 
 		logger.log(logEvents.unexpectedError, {error: String(err)});
@@ -332,12 +464,26 @@
 		return Outcome.Unknown;
 	}
 
-	private refuseBadRequest(err: NodeJS.ErrnoException, socket: Duplex): void {
-		if (err.code === 'ECONNRESET' || !socket.writable) {
+	private handleParseFailure(err: NodeJS.ErrnoException, socket: Duplex): void {
+		const connection = socket instanceof Socket ? this.connectionOf(socket) : undefined;
+		if (connection?.isDroppingInput) {
+			return;
+		}
+
+		if (err.code === 'ECONNRESET' || !socket.writable || !connection) {
 			socket.destroy();
 			return;
 		}
 
+		const {unanswered} = connection;
+		const action = connection.handleParseFailure(err.code);
+		this.deps.logger.log(logEvents.inputRejected, {error: err.code, action, unanswered});
+		if (action === ParseFailureAction.Refuse) {
+			this.refuseBadRequest(err, socket);
+		}
+	}
+
+	private refuseBadRequest(err: NodeJS.ErrnoException, socket: Duplex): void {
 		const reason = RefusalReason.BadRequest;
 		this.deps.metrics.refusals.inc({reason});
 		this.deps.metrics.calls.inc({outcome: Outcome.NotRun});
@@ -354,10 +500,6 @@
 	}
 
 	private writeHead(res: ServerResponse, status: number, headers: HeaderList): void {
-		if (this.isDraining) {
-			res.shouldKeepAlive = false;
-		}
-
 		res.sendDate = !hasDate(headers);
 		res.writeHead(status, headers);
 	}
@@ -382,6 +524,10 @@
 	}
 }
 
+function mayHaveContent({method}: IncomingMessage, status: number): boolean {
+	return method !== 'HEAD' && status !== 204 && status !== 304;
+}
+
 function badRequestStatus(err: NodeJS.ErrnoException): string {
 	switch (err.code) {
 		case 'HPE_HEADER_OVERFLOW': {
--- a/src/ingress/request-body.ts
+++ b/src/ingress/request-body.ts
@@ -13,6 +13,15 @@
 
 const emptyBody = createBufferedBody(new Uint8Array());
 
+/**
+ * @param req - a request.
+ * @returns whether its head announces a body.
+ */
+export function hasBody({headers}: IncomingMessage): boolean {
+	const length = headers['content-length'];
+	return headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0');
+}
+
 /**
  * Reads the body of a request. A small body is buffered so that the call can be retried; a large one
  * or one of unknown length is streamed so that memory use stays bounded.
@@ -22,8 +31,7 @@
  */
 export async function readRequestBody(req: IncomingMessage): Promise<Body> {
 	const length = req.headers['content-length'];
-	const hasBody = length !== undefined || req.headers['transfer-encoding'] !== undefined;
-	if (!hasBody || length === '0') {
+	if (!hasBody(req)) {
 		req.resume();
 		return emptyBody;
 	}
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -99,6 +99,30 @@
 		info,
 		'A request was refused before it became a call.',
 	),
+	requestsUnanswered: event(
+		810,
+		'requests-unanswered',
+		info,
+		'A connection closed before all its requests were answered; those behind count as not read.',
+	),
+	requestOutwaited: event(
+		811,
+		'request-outwaited',
+		info,
+		'The deadline of a request passed while it waited behind others on its connection; it did not run.',
+	),
+	answerOutwaited: event(
+		812,
+		'answer-outwaited',
+		info,
+		'An answer was held by earlier ones on its connection until its deadline had passed.',
+	),
+	inputRejected: event(
+		813,
+		'input-rejected',
+		info,
+		'Bytes on the connection of a caller could not be parsed, or came too late.',
+	),
 	backendDeparted: event(
 		207,
 		'backend-departed',
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -11,6 +11,16 @@
 	Hedge = 'hedge',
 }
 
+/** How a request was handled that a caller sent behind another one on the same connection. */
+export enum PipelineHandling {
+	/** It waited until it could be forwarded. */
+	Waited = 'waited',
+	/** Its deadline passed while it waited. */
+	Expired = 'expired',
+	/** Its answer was held by earlier ones until its deadline had passed. */
+	Late = 'late',
+}
+
 /** Kind of traffic on a link. */
 export enum TrafficKind {
 	Call = 'call',
@@ -59,6 +69,20 @@
 		registers: [this.registry],
 	});
 
+	readonly pipelinedRequests = new Counter({
+		name: 'turmeric_pipelined_requests_total',
+		help: 'Requests delayed by earlier ones on the same connection, by handling.',
+		labelNames: ['handling'],
+		registers: [this.registry],
+	});
+
+	readonly unansweredRequests = new Counter({
+		name: 'turmeric_unanswered_requests_total',
+		help: 'Requests whose connection closed before they were answered, by state.',
+		labelNames: ['state'],
+		registers: [this.registry],
+	});
+
 	readonly lateAnswers = new Counter({
 		name: 'turmeric_late_answers_total',
 		help: 'Answers dropped because they arrived after their attempt had ended.',
