--- a/src/ingress/__tests__/unit/ingress.test.ts
+++ b/src/ingress/__tests__/unit/ingress.test.ts
@@ -315,6 +315,22 @@
 		expect(caller.received).toContain('</safe/1>');
 	});
 
+	it('completes an answer that is being written when garbage arrives, then closes', async () => {
+		const caller = open();
+		caller.send('/safe/1');
+		await until(() => started.length === 1);
+		const stream = new PassThrough();
+		finish('/safe/1', createStreamBody(stream));
+		stream.write('first');
+		await until(() => caller.received.includes('first'));
+		caller.socket.write('\u0001\u0002 garbage\r\n\r\n');
+		await sleep();
+		stream.end('last');
+		await until(() => caller.isClosed);
+		expect(caller.received).toContain('last');
+		expect(caller.statuses).toEqual([200]);
+	});
+
 	it('answers garbage after an answered request with the close of the connection only', async () => {
 		const caller = open();
 		caller.send('/safe/1');
--- a/src/ingress/caller-connection.ts
+++ b/src/ingress/caller-connection.ts
@@ -345,6 +345,10 @@
 
 		this.turns.delete(request);
 		this.pipeline.complete(request);
+		if (this.pipeline.isExhausted) {
+			this.closeGracefully();
+		}
+
 		this.update();
 	}
 
--- a/src/ingress/request-pipeline.ts
+++ b/src/ingress/request-pipeline.ts
@@ -84,6 +84,11 @@
 		return this.isClosed || this.isInputEnded;
 	}
 
+	/** Whether the input has ended and all requests are answered, but no answer has closed the connection. */
+	get isExhausted(): boolean {
+		return this.isInputEnded && !this.isClosed && this.queue.length === 0;
+	}
+
 	/** The request that is answered next; undefined if all are answered. */
 	get first(): PipelinedRequest | undefined {
 		return this.queue[0];
@@ -117,10 +122,6 @@
 
 	/** @returns the first waiting request, if it may be forwarded now; those behind it wait for it. */
 	nextToForward(): PipelinedRequest | undefined {
-		if (this.isClosed) {
-			return undefined;
-		}
-
 		for (const request of this.queue) {
 			if (request.isWaiting) {
 				const isPermitted = request === this.queue[0] || this.mayForwardBeside(request);
