--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -206,6 +206,14 @@
 		return (await res.json()) as {revision: {inForce: number}; members: number};
 	}
 
+	/** @returns the value of a metric without labels. */
+	async metric(node: MeshNode, name: string): Promise<number> {
+		const res = await fetch(`http://${node.address}:${ports.operators}/metrics`);
+		const text = await res.text();
+		const line = text.split('\n').find((item) => item.startsWith(`${name} `));
+		return Number(line?.slice(name.length + 1));
+	}
+
 	/** @returns the configuration version in force at the node. */
 	async version(node: MeshNode): Promise<number> {
 		const status = await this.status(node);
