--- a/src/ingress/__tests__/unit/ingress.test.ts
+++ b/src/ingress/__tests__/unit/ingress.test.ts
@@ -430,6 +430,35 @@
 		expect(caller.statuses).toEqual([200, 100, 200, 404]);
 	});
 
+	it.each([
+		['http://a/safe/1', '/safe/1'],
+		['HTTP://a:7600/safe/1?q=http://b/', '/safe/1?q=http://b/'],
+		['http://a', '/'],
+	])('takes a request for the absolute target %s', async (target, path) => {
+		const caller = open();
+		caller.send(target);
+		await until(() => started.length === 1);
+		expect(started).toEqual([path]);
+		finish(path);
+		await until(() => caller.statuses.length === 1);
+		expect(caller.statuses).toEqual([200]);
+	});
+
+	it('takes heads as long as the configuration allows', async () => {
+		const head = `GET /safe/1 HTTP/1.1\r\nHost: a\r\nX-Long: ${'x'.repeat(20_000)}\r\n\r\n`;
+		const early = open();
+		early.socket.write(head);
+		await until(() => early.isClosed);
+		expect(early.statuses).toEqual([431]);
+		ingress.setMaxHeaderBytes(32_768);
+		const later = open();
+		later.socket.write(head);
+		await until(() => started.length === 1);
+		finish('/safe/1');
+		await until(() => later.statuses.length === 1);
+		expect(later.statuses).toEqual([200]);
+	});
+
 	it('refuses what its run refused, and keeps the connection', async () => {
 		const caller = open();
 		caller.send('/unsafe/1', '/unsafe/2');
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -55,7 +55,8 @@
 	runCall(call: Call): Promise<CallEnd>;
 }
 
-const maxHeaderBytes = 16_384;
+/** Limit of a request's head while no configuration names a higher one. */
+const defaultMaxHeaderBytes = 16_384;
 const maxInFlight = 4000;
 const headTimeout: Millis = 10 * second;
 const requestTimeout: Millis = 60 * second;
@@ -66,6 +67,7 @@
 	maxUnanswered: 32,
 	maxHeldBytes: 4 * maxInlineBodyBytes,
 };
+const absoluteTarget = /^https?:\/\/([^\/?#]+)(.*)$/iv;
 /** Path that issues an idempotency key owned by this node. */
 const issuePath = '/turmeric/keys';
 
@@ -79,7 +81,7 @@
 	constructor(private readonly deps: IngressDependencies) {
 		this.server = createServer(
 			{
-				maxHeaderSize: maxHeaderBytes,
+				maxHeaderSize: defaultMaxHeaderBytes,
 				headersTimeout: headTimeout,
 				requestTimeout,
 				keepAliveTimeout: idleTimeout,
@@ -128,6 +130,15 @@
 		this.server.keepAliveTimeout = duration;
 	}
 
+	/**
+	 * Raises the limit for the heads of requests on connections that are opened from now on.
+	 * @param bytes - the limit, in bytes.
+	 */
+	setMaxHeaderBytes(bytes: number): void {
+		// The server passes this property to the parser of each new connection; its type does not name it.
+		Object.assign(this.server, {maxHeaderSize: Math.max(defaultMaxHeaderBytes, bytes)});
+	}
+
 	/** Stops accepting connections and closes idle ones. */
 	close(): void {
 		this.server.close();
@@ -191,6 +202,7 @@
 			return this.issueKey(req, turn, keyedCalls);
 		}
 
+		normalizeTarget(req);
 		checkHead(req);
 		const call = await this.createCall(req, turn, index);
 		const end = await this.run(call);
@@ -505,6 +517,16 @@
 	}
 }
 
+// A server has to accept the absolute form of the target, which names the host (RFC 9112, section 3.2.2).
+function normalizeTarget(req: IncomingMessage): void {
+	const match = req.url?.startsWith('/') ? undefined : absoluteTarget.exec(req.url ?? '');
+	if (match) {
+		const [, host, path = ''] = match;
+		req.headers.host = host;
+		req.url = path.startsWith('/') ? path : `/${path}`;
+	}
+}
+
 // Some versions of the HTTP parser accept a space after the name of a header, which a backend server may
 // read as another header (RFC 9112, section 5.1).
 function checkHead({rawHeaders, headers, httpVersion}: IncomingMessage): void {
--- a/src/ingress/turmeric-caller-protocol.ts
+++ b/src/ingress/turmeric-caller-protocol.ts
@@ -109,9 +109,14 @@
 	}
 
 	const timeout = Number(text);
-	if (text === '' || !Number.isFinite(timeout) || timeout < 0) {
+	if (text === '' || !Number.isFinite(timeout)) {
 		throw new RefusedRequestError(RefusalReason.BadRequest);
 	}
 
+	// A caller on a slow VM may send a request after its own deadline; the request is valid nevertheless.
+	if (timeout <= 0) {
+		throw new RefusedRequestError(RefusalReason.DeadlinePassed);
+	}
+
 	return Math.min(timeout, policy.maxDeadline);
 }
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -324,6 +324,7 @@
 		this.lowestPriority = Math.max(0, ...priorities);
 		if (callerLimits) {
 			this.ingress.setIdleTimeout(callerLimits.idleTimeout + idleMargin);
+			this.ingress.setMaxHeaderBytes(callerLimits.maxHeaderBytes);
 		}
 	}
 
