--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -220,6 +220,11 @@
 		return status.revision.inForce;
 	}
 
+	/** Waits until a configuration version, or a later one, is in force at the node. */
+	async awaitVersion(node: MeshNode, version: number): Promise<void> {
+		await eventually(async () => (await this.version(node)) >= version);
+	}
+
 	/** @returns the HTTP status that a caller gets. */
 	async statusFor(node: MeshNode, req: MeshRequest): Promise<number> {
 		const answer = await this.send(node, req);
