--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -206,12 +206,25 @@
 		return (await res.json()) as {revision: {inForce: number}; members: number};
 	}
 
+	/** @returns the value of a metric without labels. */
+	async metric(node: MeshNode, name: string): Promise<number> {
+		const res = await fetch(`http://${node.address}:${ports.operators}/metrics`);
+		const text = await res.text();
+		const line = text.split('\n').find((item) => item.startsWith(`${name} `));
+		return Number(line?.slice(name.length + 1));
+	}
+
 	/** @returns the configuration version in force at the node. */
 	async version(node: MeshNode): Promise<number> {
 		const status = await this.status(node);
 		return status.revision.inForce;
 	}
 
+	/** Waits until a configuration version, or a later one, is in force at the node. */
+	async awaitVersion(node: MeshNode, version: number): Promise<void> {
+		await eventually(async () => (await this.version(node)) >= version);
+	}
+
 	/** @returns the HTTP status that a caller gets. */
 	async statusFor(node: MeshNode, req: MeshRequest): Promise<number> {
 		const answer = await this.send(node, req);
