Leave out evacuated availability zones, and check allowed regions wherever a request travels

Rows evacuate/ZONE of the operators' table are read by the feed of that table. Each node keeps the set with the store position at which it was read; peers exchange it with the known revisions of gossip messages, which are unchanged without an evacuation. The placement leaves out evacuated zones, executors in them refuse new and queued calls, and nodes return to a zone one after the other.

Allowed regions travel with an attempt; the link checks them against the region that the peer has proved, and the executor against its own configuration. Nested calls inherit the regions of their parent.

--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -48,6 +48,14 @@
 	readonly kind: 'safe' | 'unsafe';
 	readonly service: string;
 	readonly timeout_ms?: number;
+	readonly allowed_regions?: readonly string[];
+}
+
+/** An availability zone as a node shows it to operators. */
+export interface MeshZone {
+	readonly zone: string;
+	readonly isEvacuated: boolean;
+	readonly source?: string;
 }
 
 const ports = {callers: 7600, readiness: 7601, announcements: 7602, link: 7603, operators: 7604};
@@ -164,9 +172,11 @@
 	}
 
 	async writeRow(table: string, key: string, value: string): Promise<void> {
-		const entry = {table, part: '', key, value};
-		const body = JSON.stringify({expect: [], put_entries: [entry], removals: []});
-		await fetch(`http://${this.store}/v1/rows-tx`, {method: 'POST', body});
+		await this.commit({put_entries: [{table, part: '', key, value}]});
+	}
+
+	async removeRow(table: string, key: string): Promise<void> {
+		await this.commit({removals: [{table, part: '', key}]});
 	}
 
 	async setStoreFaults(faults: Record<string, unknown>): Promise<void> {
@@ -206,6 +216,13 @@
 		return (await res.json()) as {revision: {inForce: number}; members: number};
 	}
 
+	/** @returns what the node says to operators about the availability zones that it knows. */
+	async zones(node: MeshNode): Promise<MeshZone[]> {
+		const res = await fetch(`http://${node.address}:${ports.operators}/v1/zones`);
+		const {zones} = (await res.json()) as {zones: MeshZone[]};
+		return zones;
+	}
+
 	/** @returns the configuration version in force at the node. */
 	async version(node: MeshNode): Promise<number> {
 		const status = await this.status(node);
@@ -290,6 +307,11 @@
 		rmSync(this.folder, {recursive: true, force: true});
 	}
 
+	private async commit(transaction: Record<string, unknown>): Promise<void> {
+		const body = JSON.stringify({expect: [], put_entries: [], removals: [], ...transaction});
+		await fetch(`http://${this.store}/v1/rows-tx`, {method: 'POST', body});
+	}
+
 	private settingsFile(node: MeshNode): string {
 		return join(this.folder, `${node.name}.ini`);
 	}
--- a/src/call/index.ts
+++ b/src/call/index.ts
@@ -4,7 +4,13 @@
 export type {LoadReport} from './load-report.js';
 export {Outcome} from './outcome.js';
 export {refusals, RefusalReason, type Refusal} from './refusal-reason.js';
-export type {HeaderList, RequestHead, RequestOrigin} from './request-head.js';
+export {
+	commonRegions,
+	isRegionAllowed,
+	type HeaderList,
+	type RequestHead,
+	type RequestOrigin,
+} from './request-head.js';
 export {CrashGuard, type CrashReport, type Hold} from './crash-guard.js';
 export {
 	KeyLedger,
--- a/src/call/request-head.ts
+++ b/src/call/request-head.ts
@@ -28,6 +28,30 @@
 	readonly origin: RequestOrigin;
 	/** Hash of the request; equal requests have equal hashes. */
 	readonly fingerprint: string;
-	/** Regions that the request may be sent to; undefined for any. Known at the ingress only. */
+	/** Regions that the request may be sent to; undefined for any. */
 	readonly allowedRegions?: readonly string[] | undefined;
 }
+
+/**
+ * @param region - region of a node; an empty one stands for an unknown region.
+ * @param allowedRegions - regions that a request may be sent to; undefined for any.
+ * @returns whether the request may be sent to the node.
+ */
+export function isRegionAllowed(
+	region: string,
+	allowedRegions: readonly string[] | undefined,
+): boolean {
+	return allowedRegions === undefined || (region !== '' && allowedRegions.includes(region));
+}
+
+/**
+ * @param first - regions that one rule allows; undefined for any.
+ * @param second - regions that another rule allows; undefined for any.
+ * @returns the regions that both allow; undefined for any.
+ */
+export function commonRegions(
+	first: readonly string[] | undefined,
+	second: readonly string[] | undefined,
+): readonly string[] | undefined {
+	return first && second ? first.filter((region) => second.includes(region)) : (first ?? second);
+}
--- a/src/claims/key-owners.ts
+++ b/src/claims/key-owners.ts
@@ -1,4 +1,4 @@
-import {Deadline, RefusalReason} from '../call/index.js';
+import {Deadline, isRegionAllowed, RefusalReason} from '../call/index.js';
 import {handoverPrefix} from '../control/index.js';
 import type {RevisionTracker} from '../declaration/index.js';
 import {
@@ -106,7 +106,11 @@
 			}
 
 			if (session) {
-				return this.runAtOwner(owner.id, call);
+				// An earlier copy may have run, so that this one is not reported as "not run".
+				const region = session.link.peer?.region ?? '';
+				return isRegionAllowed(region, call.head.allowedRegions)
+					? this.runAtOwner(owner.id, call)
+					: createUnknown(RefusalReason.KeyNotChecked);
 			}
 		}
 
--- a/src/control/configuration-feed.ts
+++ b/src/control/configuration-feed.ts
@@ -19,6 +19,7 @@
 import {logEvents, type Logger} from '../telemetry/index.js';
 import {pause} from '../util/index.js';
 import {ContentFetcher} from './content-fetcher.js';
+import type {EvacuationReader} from './evacuation-reader.js';
 
 /** A configuration parsed from the row that operators write. */
 export interface WrittenConfiguration {
@@ -36,6 +37,11 @@
 	 * @throws Error when the text is not a valid configuration.
 	 */
 	parse(text: string): WrittenConfiguration;
+	/**
+	 * @param key - key of another row of the table.
+	 * @returns the availability zone that the row evacuates; undefined for a row of another meaning.
+	 */
+	evacuatedZone?(key: string): string | undefined;
 }
 
 export interface ConfigurationFeedDependencies {
@@ -47,6 +53,8 @@
 	readonly hub: LinkHub;
 	readonly store: RowFeed;
 	readonly source: ConfigurationSource;
+	/** Reads the evacuations from the rows of the same table; undefined if there are none. */
+	readonly evacuations?: Pick<EvacuationReader, 'read'>;
 	/** @returns whether this node reads the store for its zone. */
 	isReader(): boolean;
 }
@@ -155,14 +163,17 @@
 	}
 
 	private async readPage(): Promise<Millis> {
-		const {store, source} = this.deps;
+		const {store, source, evacuations} = this.deps;
+		const {position} = this;
+		const isSnapshot = position === undefined;
 		try {
-			const page =
-				this.position === undefined
-					? await store.snapshot(source.table)
-					: await store.changes(source.table, this.position, longPollTimeout);
+			const page = isSnapshot
+				? await store.snapshot(source.table)
+				: await store.changes(source.table, position, longPollTimeout);
 			this.position = page.position;
 			this.recordSuccess();
+			// Before the configuration, as a node accepts calls as soon as it has one.
+			evacuations?.read(page, isSnapshot);
 			for (const change of page.changes) {
 				this.applyChange(change);
 			}
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -5,6 +5,7 @@
 	type WrittenConfiguration,
 } from './configuration-feed.js';
 export {ContentFetcher} from './content-fetcher.js';
+export {EvacuationReader, type EvacuationReaderDependencies} from './evacuation-reader.js';
 export {mustReadStore, selectReaders} from './readers.js';
 export {Roster, type RosterDependencies} from './roster.js';
 export {DeclarationStore, HeadWriteResult, type HeadRow} from './declaration-store.js';
--- a/src/declaration/revision-tracker.ts
+++ b/src/declaration/revision-tracker.ts
@@ -1,4 +1,5 @@
 import type {Undo} from '../clock/index.js';
+import type {EvacuationState} from '../evacuation/index.js';
 import {hashBytes} from '../util/index.js';
 import type {Declaration} from './declaration.js';
 import {DeclarationIndex} from './declaration-index.js';
@@ -13,6 +14,8 @@
 	readonly staged: number;
 	/** Hash of the staged revision's content. */
 	readonly stagedHash: string;
+	/** Evacuated zones as the sender of a gossip message knows them; undefined if it need not tell. */
+	readonly evacuation?: EvacuationState;
 }
 
 /** Content is not a declaration, or does not match its hash. */
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -13,6 +13,7 @@
 	type AttemptId,
 	type AttemptState,
 	type LoadReport,
+	type RequestHead,
 } from '../call/index.js';
 import type {Clock, Millis} from '../clock/index.js';
 import {
@@ -58,6 +59,11 @@
 	readonly disabled?: DisabledMechanisms;
 	/** @returns a sender of requests to a backend server. */
 	createSender(backend: BackendTarget): BackendSender;
+	/**
+	 * @param head - a request that has arrived or is about to be sent to the backend server.
+	 * @returns why it may not run in this region or availability zone; undefined if it may.
+	 */
+	checkPlace?(head: RequestHead): RefusalReason | undefined;
 	/** Called when the backend server accepts no connections or another one listens at its address. */
 	onBackendUnreachable(): void;
 	/**
@@ -208,6 +214,14 @@
 		this.warmUpSlowdown = slowdown;
 	}
 
+	/**
+	 * Refuses the queued calls, which may go elsewhere; running calls are completed.
+	 * @param reason - why they may not run here.
+	 */
+	refuseQueue(reason: RefusalReason): void {
+		this.admission.refuseQueue(reason);
+	}
+
 	/** Refuses new and queued calls; running calls are completed. */
 	drain(): void {
 		this.isDraining = true;
@@ -230,17 +244,28 @@
 
 	/**
 	 * @param requestId - id of a request.
-	 * @returns whether the id extends the id of a request that runs here, as the ids of nested calls do.
+	 * @returns the request that runs here and whose id the given id extends, as the ids of nested calls do; the
+	 * one with the longest id if there are several, as that is the direct parent; undefined if there is none.
 	 */
-	isRunningParentOf(requestId: string): boolean {
+	findParent(requestId: string): RequestHead | undefined {
+		let parent: RequestHead | undefined;
 		for (const {head} of this.inFlight.keys()) {
-			const parent = head.origin.requestId;
-			if (requestId.length > parent.length && requestId.startsWith(parent)) {
-				return true;
+			const id = head.origin.requestId;
+			const isParent = requestId.length > id.length && requestId.startsWith(id);
+			if (isParent && id.length > (parent?.origin.requestId.length ?? -1)) {
+				parent = head;
 			}
 		}
 
-		return false;
+		return parent;
+	}
+
+	/**
+	 * @param requestId - id of a request.
+	 * @returns whether the id extends the id of a request that runs here, as the ids of nested calls do.
+	 */
+	isRunningParentOf(requestId: string): boolean {
+		return this.findParent(requestId) !== undefined;
 	}
 
 	/**
@@ -406,7 +431,7 @@
 		}
 
 		const isHeld = this.deps.crashWatch.isHeld(attempt.head.fingerprint);
-		return isHeld ? RefusalReason.Held : undefined;
+		return isHeld ? RefusalReason.Held : this.deps.checkPlace?.(attempt.head);
 	}
 
 	private async send(
@@ -458,6 +483,11 @@
 			return RefusalReason.Held;
 		}
 
+		const misplaced = this.deps.checkPlace?.(attempt.head);
+		if (misplaced !== undefined) {
+			return misplaced;
+		}
+
 		if (!this.ledger.markRan(attempt.id)) {
 			return RefusalReason.Fenced;
 		}
--- a/src/executor/index.ts
+++ b/src/executor/index.ts
@@ -10,4 +10,5 @@
 	type BackendNotice,
 	type BackendProtocol,
 } from './backend-protocol.js';
+export {PlaceCheck, type PlaceCheckDependencies} from './place-check.js';
 export {hasHeader, headerValue, stripHeaders} from './headers.js';
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -72,6 +72,8 @@
 	RefusalReason.NoBackend,
 	RefusalReason.LinkUnreachable,
 	RefusalReason.BackendReplaced,
+	RefusalReason.ZoneEvacuated,
+	RefusalReason.RegionNotAllowed,
 ]);
 /** Refusals by the backend server itself, which count as attempts that reached it. */
 const backendRefusals: ReadonlySet<RefusalReason> = new Set([
@@ -390,6 +392,7 @@
 				result.reason === RefusalReason.ExecutorLost ||
 				result.reason === RefusalReason.BackendUnreachable ||
 				result.reason === RefusalReason.BackendReplaced ||
+				result.reason === RefusalReason.ZoneEvacuated ||
 				result.reason === RefusalReason.NoBackend);
 		if (isUnavailable) {
 			placement.avoid(executor.id, avoidDuration);
--- a/src/ingress/nearest-first-placement.ts
+++ b/src/ingress/nearest-first-placement.ts
@@ -2,10 +2,13 @@
 import {RefusalReason} from '../call/index.js';
 import type {Clock, Millis} from '../clock/index.js';
 import type {RevisionTracker} from '../declaration/index.js';
+import type {ZoneFilter} from '../evacuation/index.js';
 import {Distance, distanceBetween, type Gossip, type Member} from '../membership/index.js';
 import {
 	findCandidates,
 	isOtherRegionNeeded,
+	isPlaceRefusal,
+	reasonWithoutExecutor,
 	type AttemptOutcome,
 	type ExpectedWaitPolicy,
 	type Placement,
@@ -18,6 +21,8 @@
 	readonly gossip: Gossip;
 	readonly routing: ExpectedWaitPolicy;
 	readonly revisions: Pick<RevisionTracker, 'inForce'>;
+	/** Evacuated availability zones; undefined for none. */
+	readonly zones?: ZoneFilter;
 }
 
 /** Estimated size in bytes of the heads and framing of a call and its answer. */
@@ -37,9 +42,9 @@
 	}
 
 	choose(query: PlacementQuery): Member | undefined {
-		const {gossip, routing} = this.deps;
-		const {service, excluded, timeLeft} = query;
-		const candidates = findCandidates(gossip.directory, gossip.localMember, service, excluded);
+		const {gossip, routing, zones} = this.deps;
+		const {timeLeft} = query;
+		const candidates = findCandidates(gossip.directory, gossip.localMember, query, zones);
 		const isNearEnough =
 			candidates.near.length > 0 &&
 			!isOtherRegionNeeded(routing.bestExpectedTime(candidates.near), timeLeft);
@@ -52,8 +57,15 @@
 	}
 
 	noExecutorReason(query: PlacementQuery): RefusalReason {
-		const {gossip} = this.deps;
-		const {far} = findCandidates(gossip.directory, gossip.localMember, query.service, noneExcluded);
+		const {gossip, zones} = this.deps;
+		const members = gossip.directory.ofService(query.service);
+		const reason = reasonWithoutExecutor(members, query.allowedRegions, zones);
+		if (isPlaceRefusal(reason)) {
+			return reason;
+		}
+
+		const untried = {...query, excluded: noneExcluded};
+		const {far} = findCandidates(gossip.directory, gossip.localMember, untried, zones);
 		const isBlockedByBudget = this.isOtherRegionAllowed(query) && far.length > 0;
 		return isBlockedByBudget ? RefusalReason.LinkBudget : RefusalReason.NoBackend;
 	}
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -6,7 +6,7 @@
 	type LoadReport,
 	type RequestOrigin,
 } from '../call/index.js';
-import {FrameType, OpenTarget, type Frame, type RefusedFrame} from './frame.js';
+import {FrameType, OpenTarget, type Frame, type OpenFrame, type RefusedFrame} from './frame.js';
 
 /** The bytes are not a valid frame of this protocol. */
 export class FrameDecodeError extends Error {
@@ -58,6 +58,31 @@
 	return [origin.requestId, origin.caller, origin.route, origin.priority];
 }
 
+function packOpen(frame: OpenFrame): readonly unknown[] {
+	const {allowedRegions} = frame;
+	return [
+		frame.type,
+		frame.stream,
+		frame.target,
+		frame.sequence,
+		frame.service,
+		frame.customer,
+		frame.method,
+		frame.path,
+		frame.headers,
+		frame.isIdempotent,
+		frame.key,
+		packOrigin(frame.origin),
+		frame.fingerprint,
+		frame.share,
+		frame.canRetryElsewhere,
+		round(frame.timeLeft),
+		round(frame.objectiveLeft),
+		frame.body,
+		...(allowedRegions ? [allowedRegions] : []),
+	];
+}
+
 function packFields(frame: Frame): readonly unknown[] {
 	const {type} = frame;
 	switch (type) {
@@ -75,26 +100,7 @@
 		}
 
 		case FrameType.Open: {
-			return [
-				type,
-				frame.stream,
-				frame.target,
-				frame.sequence,
-				frame.service,
-				frame.customer,
-				frame.method,
-				frame.path,
-				frame.headers,
-				frame.isIdempotent,
-				frame.key,
-				packOrigin(frame.origin),
-				frame.fingerprint,
-				frame.share,
-				frame.canRetryElsewhere,
-				round(frame.timeLeft),
-				round(frame.objectiveLeft),
-				frame.body,
-			];
+			return packOpen(frame);
 		}
 
 		case FrameType.Credit: {
@@ -273,6 +279,14 @@
 		};
 	}
 
+	optionalTexts(): readonly string[] | undefined {
+		return this.optional(() => {
+			const fields = this.list();
+			const texts = new FieldReader(fields);
+			return fields.map(() => texts.text());
+		});
+	}
+
 	optionalLoad(): LoadReport | undefined {
 		return this.optional(() => this.load());
 	}
@@ -362,6 +376,7 @@
 		timeLeft: fields.number(),
 		objectiveLeft: fields.number(),
 		body: fields.optionalBytes(),
+		allowedRegions: fields.optionalTexts(),
 	}),
 	[FrameType.Credit]: (fields) => ({
 		type: FrameType.Credit,
--- a/src/link/frame.ts
+++ b/src/link/frame.ts
@@ -92,6 +92,8 @@
 	readonly objectiveLeft: Millis;
 	/** The complete body; undefined when it is streamed in Data frames. */
 	readonly body: Uint8Array | undefined;
+	/** Regions that the call may be sent to; undefined for any, and not encoded then. */
+	readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** Grants the receiver of this frame `bytes` more bytes to send on a stream. */
--- a/src/link/incoming-attempt.ts
+++ b/src/link/incoming-attempt.ts
@@ -54,9 +54,11 @@
 		const {sequence, share, canRetryElsewhere, timeLeft, objectiveLeft} = this.frame;
 		const {service, customer, method, path, headers, isIdempotent, key, fingerprint, origin} =
 			this.frame;
+		const {allowedRegions} = this.frame;
+		const target = {service, customer, method, path, headers, allowedRegions};
 		return {
 			id: {instance, sequence},
-			head: {service, customer, method, path, headers, isIdempotent, key, origin, fingerprint},
+			head: {...target, isIdempotent, key, origin, fingerprint},
 			share,
 			canRetryElsewhere,
 			deadline: Deadline.in(now, timeLeft - staleness),
--- a/src/link/link-hub.ts
+++ b/src/link/link-hub.ts
@@ -1,5 +1,5 @@
 import {WebSocket, WebSocketServer} from 'ws';
-import {AttemptState, RefusalReason, type LoadReport} from '../call/index.js';
+import {AttemptState, isRegionAllowed, RefusalReason, type LoadReport} from '../call/index.js';
 import type {Millis, Undo} from '../clock/index.js';
 import {
 	createRefused,
@@ -217,6 +217,10 @@
 			return createRefused(RefusalReason.DeadlinePassed);
 		}
 
+		if (!isRegionAllowed(session.link.peer?.region ?? '', attempt.head.allowedRegions)) {
+			return createRefused(RefusalReason.RegionNotAllowed);
+		}
+
 		return session.run(attempt, target);
 	}
 
--- a/src/link/outgoing-attempt.ts
+++ b/src/link/outgoing-attempt.ts
@@ -90,6 +90,7 @@
 			timeLeft,
 			objectiveLeft,
 			body: body.bytes,
+			allowedRegions: head.allowedRegions,
 		});
 		this.cleanups.push(
 			this.attempt.cancellation.registerListener(() => {
--- a/src/membership/__tests__/unit/gossip-codec.test.ts
+++ b/src/membership/__tests__/unit/gossip-codec.test.ts
@@ -1,4 +1,5 @@
 import fc from 'fast-check';
+import {pack, unpack} from 'msgpackr';
 import {describe, expect, it} from 'vitest';
 import {
 	createLocalMember,
@@ -39,6 +40,24 @@
 	},
 	{type: GossipType.Entries, sender, members: [self], revisions},
 	{type: GossipType.HeldRevision, sender, revision: 12},
+	{
+		type: GossipType.Entries,
+		sender,
+		members: [],
+		revisions: {
+			...revisions,
+			evacuation: {position: {era: 3, version: 2 ** 40}, zones: ['harju-a', 'harju/b']},
+		},
+	},
+	{
+		type: GossipType.Ping,
+		sender,
+		sequence: 1,
+		piggyback: {
+			...piggyback,
+			revisions: {...revisions, evacuation: {position: {era: undefined, version: 7}, zones: []}},
+		},
+	},
 ];
 
 describe('gossip codec', () => {
@@ -46,6 +65,26 @@
 		expect(decodeGossip(encodeGossip(message))).toEqual(message);
 	});
 
+	it('adds no bytes without an evacuation, and appends one where earlier builds ignore it', () => {
+		const lists = [messages[4]!, messages[6]!].map((message) => {
+			const fields = unpack(encodeGossip(message)) as unknown[];
+			return (fields[4] as unknown[])[1] as unknown[];
+		});
+		expect(lists[0]).toEqual([4, 'a', 5, 'b']);
+		expect(lists[1]!.slice(0, 4)).toEqual(lists[0]);
+		expect(lists[1]).toHaveLength(5);
+	});
+
+	it.each([
+		['a zone that is not a string', [1, 2, [3]]],
+		['a version that is not an integer', [1, 'x', []]],
+		['no list', 'a'],
+	])('rejects an evacuation with %s', (_name, evacuation) => {
+		const fields = unpack(encodeGossip(messages[4]!)) as unknown[];
+		((fields[4] as unknown[])[1] as unknown[])[4] = evacuation;
+		expect(() => decodeGossip(pack(fields))).toThrow(GossipDecodeError);
+	});
+
 	it('decodes arbitrary bytes to a message or throws GossipDecodeError', () => {
 		fc.assert(
 			fc.property(fc.uint8Array({maxLength: 200}), (bytes) => {
--- a/src/membership/gossip-codec.ts
+++ b/src/membership/gossip-codec.ts
@@ -1,5 +1,6 @@
 import {Packr} from 'msgpackr';
 import type {KnownRevisions} from '../declaration/index.js';
+import type {EvacuationState} from '../evacuation/index.js';
 import {bucketCount} from './directory.js';
 import {
 	GossipType,
@@ -145,8 +146,24 @@
 	};
 }
 
+// Without an evacuation the encoding is that of earlier builds, which ignore further fields.
 function packRevisions(revisions: KnownRevisions): Packed {
-	return [revisions.accepted, revisions.acceptedHash, revisions.staged, revisions.stagedHash];
+	const {accepted, acceptedHash, staged, stagedHash, evacuation} = revisions;
+	const fields = [accepted, acceptedHash, staged, stagedHash];
+	return evacuation ? [...fields, packEvacuation(evacuation)] : fields;
+}
+
+function packEvacuation({position, zones}: EvacuationState): Packed {
+	return [position.era ?? null, position.version, zones];
+}
+
+function unpackEvacuation(packed: unknown): EvacuationState {
+	const fields = asList(packed);
+	const era = fields[0] === null ? undefined : asUnsignedInteger(fields[0]);
+	return {
+		position: {era, version: asUnsignedInteger(fields[1])},
+		zones: asList(fields[2]).map((zone) => asString(zone)),
+	};
 }
 
 function unpackRevisions(packed: unknown): KnownRevisions {
@@ -156,6 +173,7 @@
 		acceptedHash: asString(fields[1]),
 		staged: asUnsignedInteger(fields[2]),
 		stagedHash: asString(fields[3]),
+		...(fields[4] !== undefined && {evacuation: unpackEvacuation(fields[4])}),
 	};
 }
 
--- a/src/routing/candidates.ts
+++ b/src/routing/candidates.ts
@@ -1,4 +1,6 @@
+import {isRegionAllowed} from '../call/index.js';
 import type {Millis} from '../clock/index.js';
+import type {ZoneFilter} from '../evacuation/index.js';
 import {
 	Distance,
 	distanceBetween,
@@ -6,6 +8,7 @@
 	type Directory,
 	type Member,
 } from '../membership/index.js';
+import type {PlacementQuery} from './placement.js';
 
 /** Candidates for one call, by distance. */
 export interface Candidates {
@@ -14,23 +17,28 @@
 	readonly far: readonly Member[];
 }
 
+/** Part of a placement query that selects candidates. */
+export type CandidateQuery = Pick<PlacementQuery, 'service' | 'excluded' | 'allowedRegions'>;
+
 /**
  * @param directory - all known members.
  * @param self - the local member.
- * @param service - the service that is called.
- * @param excluded - members that have been tried already.
+ * @param query - the service that is called, and the members and regions that are left out.
+ * @param zones - evacuated availability zones; undefined for none.
  * @returns the members that the call can be sent to.
  */
 export function findCandidates(
 	directory: Directory,
 	self: Member,
-	service: string,
-	excluded: ReadonlySet<string>,
+	{service, excluded, allowedRegions}: CandidateQuery,
+	zones?: ZoneFilter,
 ): Candidates {
 	const near: Member[] = [];
 	const far: Member[] = [];
 	for (const member of directory.ofService(service)) {
-		if (!isRoutable(member) || excluded.has(member.id)) {
+		const isAllowed =
+			isRegionAllowed(member.region, allowedRegions) && !(zones?.isEvacuated(member) ?? false);
+		if (!isRoutable(member) || excluded.has(member.id) || !isAllowed) {
 			continue;
 		}
 
--- a/src/routing/executor-sampler.ts
+++ b/src/routing/executor-sampler.ts
@@ -1,3 +1,4 @@
+import {isRegionAllowed} from '../call/index.js';
 import {
 	Distance,
 	distanceBetween,
@@ -5,6 +6,7 @@
 	type Directory,
 	type Member,
 } from '../membership/index.js';
+import type {ZoneFilter} from '../evacuation/index.js';
 import type {Random} from '../random/index.js';
 import type {PlacementQuery} from './placement.js';
 
@@ -16,7 +18,7 @@
 };
 /** Number of members with the latest load reports that are also evaluated, as their state is best known. */
 const maxRecentReporters = 4;
-/** Services with up to this number of members are evaluated in full. */
+/** Default of {@link SamplerOptions.maxSmallServiceSize}. */
 const defaultMaxSmallServiceSize = 40;
 
 /** Part of a placement query that selects members. */
@@ -28,6 +30,14 @@
 	readonly byDistance: ReadonlyArray<readonly Member[]>;
 };
 
+/** Settings of an {@link ExecutorSampler}. */
+export interface SamplerOptions {
+	/** Services with up to this number of members are evaluated in full. */
+	readonly maxSmallServiceSize?: number | undefined;
+	/** Evacuated availability zones; undefined for none. */
+	readonly zones?: ZoneFilter | undefined;
+}
+
 /**
  * Samples the members that are evaluated for a call. In a small service these are all routable members.
  * In a large service they are a few of each distance, chosen at random so that every member receives
@@ -43,23 +53,48 @@
 		private readonly directory: Directory,
 		private readonly self: () => Member,
 		private readonly random: Random,
-		private readonly maxSmallServiceSize = defaultMaxSmallServiceSize,
+		private readonly options: SamplerOptions = {},
 	) {}
 
 	/**
 	 * @param query - service of a call, and the members and regions that are left out.
-	 * @returns the sampled routable members.
+	 * @returns the sampled routable members; none of an evacuated zone.
 	 */
-	sample({service, excluded, allowedRegions}: SampleQuery): Iterable<Member> {
-		const {size, byDistance} = this.membersOf(service);
+	sample({service, excluded, allowedRegions}: SampleQuery): ReadonlySet<Member> {
+		const {zones} = this.options;
 		const canServe = (member: Member) =>
 			isRoutable(member) &&
 			!excluded.has(member.id) &&
-			(allowedRegions?.includes(member.region) ?? true);
+			isRegionAllowed(member.region, allowedRegions) &&
+			!zones?.isEvacuated(member);
+		if (!zones?.hasReturning) {
+			return this.sampleServing(service, canServe);
+		}
+
+		const isPreferred = (member: Member) => canServe(member) && !zones.isReturning(member);
+		const preferred = this.sampleServing(service, isPreferred);
+		return preferred.size > 0 ? preferred : this.sampleServing(service, canServe);
+	}
+
+	/**
+	 * Records that a member has reported its load.
+	 * @param id - the member.
+	 */
+	recordReport(id: string): void {
+		const service = this.directory.get(id)?.service;
+		if (service !== undefined) {
+			const others = (this.recentReporters.get(service) ?? []).filter((other) => other !== id);
+			this.recentReporters.set(service, [id, ...others.slice(0, maxRecentReporters - 1)]);
+		}
+	}
+
+	private sampleServing(service: string, canServe: (member: Member) => boolean): Set<Member> {
+		const {size, byDistance} = this.membersOf(service);
+		const {maxSmallServiceSize = defaultMaxSmallServiceSize} = this.options;
 		const sampled = new Set<Member>();
-		const isSmall = size <= this.maxSmallServiceSize;
+		const isSmall = size <= maxSmallServiceSize;
 		for (const distance of [Distance.SameZone, Distance.SameRegion, Distance.OtherRegion]) {
-			const limit = isSmall ? this.maxSmallServiceSize : maxSampled[distance];
+			const limit = isSmall ? maxSmallServiceSize : maxSampled[distance];
 			this.sampleFrom(byDistance[distance]!, limit, canServe, sampled);
 		}
 
@@ -77,18 +112,6 @@
 		return sampled;
 	}
 
-	/**
-	 * Records that a member has reported its load.
-	 * @param id - the member.
-	 */
-	recordReport(id: string): void {
-		const service = this.directory.get(id)?.service;
-		if (service !== undefined) {
-			const others = (this.recentReporters.get(service) ?? []).filter((other) => other !== id);
-			this.recentReporters.set(service, [id, ...others.slice(0, maxRecentReporters - 1)]);
-		}
-	}
-
 	private membersOf(service: string): ServiceMembers {
 		const known = this.serviceMembers.get(service);
 		const {changeCount: revision} = this.directory;
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -5,6 +5,7 @@
 	StaleReportPolicy,
 } from './baselines.js';
 export {findCandidates, isOtherRegionNeeded, type Candidates} from './candidates.js';
+export {isPlaceRefusal, reasonWithoutExecutor} from './placement-reason.js';
 export type {AttemptOutcome, Placement, PlacementQuery} from './placement.js';
 export {
 	ObjectivePlacement,
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -1,18 +1,14 @@
 import {RefusalReason, type LoadReport} from '../call/index.js';
 import {minute, second, type Clock, type Millis} from '../clock/index.js';
 import {Mechanism, type DisabledMechanisms} from '../experiment/index.js';
-import {
-	Distance,
-	distanceBetween,
-	isRoutable,
-	type Directory,
-	type Member,
-} from '../membership/index.js';
+import {Distance, distanceBetween, type Directory, type Member} from '../membership/index.js';
+import type {ZoneFilter} from '../evacuation/index.js';
 import type {Random} from '../random/index.js';
 import {CallProfiles, isUsualSpeed} from './call-profiles.js';
 import {ExecutorSampler} from './executor-sampler.js';
 import {expectedLoss, expectedTime} from './expected-time.js';
 import {ExecutorViews, type ExecutorView} from './executor-view.js';
+import {isPlaceRefusal, reasonWithoutExecutor} from './placement-reason.js';
 import type {AttemptOutcome, Placement, PlacementQuery} from './placement.js';
 
 /** Costs of transferring bytes between availability zones and regions. */
@@ -32,6 +28,8 @@
 	/** Mechanisms that an experiment switches off. */
 	readonly disabled?: DisabledMechanisms;
 	readonly costs: TransferCosts;
+	/** Evacuated availability zones; undefined for none. */
+	readonly zones?: ZoneFilter;
 	/** @returns the priority of the least urgent requests. */
 	readonly lowestPriority: () => number;
 }
@@ -111,7 +109,10 @@
 		const maxEvaluated = deps.disabled?.has(Mechanism.ExecutorSampling)
 			? Number.POSITIVE_INFINITY
 			: undefined;
-		this.executors = new ExecutorSampler(deps.directory, deps.self, deps.random, maxEvaluated);
+		this.executors = new ExecutorSampler(deps.directory, deps.self, deps.random, {
+			maxSmallServiceSize: maxEvaluated,
+			zones: deps.zones,
+		});
 	}
 
 	choose(query: PlacementQuery): Member | undefined {
@@ -119,13 +120,8 @@
 	}
 
 	noExecutorReason(query: PlacementQuery): RefusalReason {
-		for (const member of this.deps.directory.ofService(query.service)) {
-			if (isRoutable(member)) {
-				return RefusalReason.Busy;
-			}
-		}
-
-		return RefusalReason.NoBackend;
+		const {directory, zones} = this.deps;
+		return reasonWithoutExecutor(directory.ofService(query.service), query.allowedRegions, zones);
 	}
 
 	hedgeDelay(query: PlacementQuery, executor: Member): Millis | undefined {
@@ -165,6 +161,11 @@
 			shortest = Math.min(shortest ?? time, time);
 		}
 
+		// No restart of a backend server makes room for the call; the general retry delay is longer.
+		if (shortest === undefined && isPlaceRefusal(this.noExecutorReason(query))) {
+			return undefined;
+		}
+
 		return Math.min(maxRetryDelay, Math.max(minRetryDelay, shortest ?? noExecutorRetryDelay));
 	}
 
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -130,6 +130,18 @@
 		registers: [this.registry],
 	});
 
+	readonly evacuatedZones = new Gauge({
+		name: 'turmeric_evacuated_zones',
+		help: 'Availability zones that are evacuated as this node knows them.',
+		registers: [this.registry],
+	});
+
+	readonly isEvacuated = new Gauge({
+		name: 'turmeric_zone_evacuated',
+		help: 'Whether the availability zone of this node is evacuated: 1, otherwise 0.',
+		registers: [this.registry],
+	});
+
 	readonly duration = new Histogram({
 		name: 'turmeric_call_duration_seconds',
 		help: 'Time from the head of a request to the end of its answer, by outcome.',
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -4,7 +4,8 @@
 import {GossipSocket} from '../datagram/index.js';
 import {RevisionTracker, type KnownRevisions} from '../declaration/index.js';
 import type {AttemptRunner} from '../exchange/index.js';
-import {BackendClient, Executor, type BackendProtocol} from '../executor/index.js';
+import {EvacuatedZones} from '../evacuation/index.js';
+import {BackendClient, Executor, PlaceCheck, type BackendProtocol} from '../executor/index.js';
 import {CallRunner, type BudgetBursts} from '../ingress/index.js';
 import {LinkHub, OpenTarget, type LinkHubDelegate} from '../link/index.js';
 import {
@@ -18,6 +19,7 @@
 } from '../membership/index.js';
 import {BackendMonitor} from '../node/backend-monitor.js';
 import {CrashWatcher} from '../node/crash-watcher.js';
+import {EvacuationMonitor} from '../node/evacuation-monitor.js';
 import {LinkBudgets} from '../node/link-budgets.js';
 import {NodeEvent, nodeMachine, NodeState} from '../node/node-lifecycle.js';
 import {PauseDetector} from '../node/pause-detector.js';
@@ -68,12 +70,14 @@
 	readonly id: string;
 	readonly instance: string;
 	readonly gossip: Gossip;
+	readonly evacuations: EvacuatedZones;
 	readonly executor: Executor;
 	readonly backend: BackendMonitor;
 	readonly crashWatcher: CrashWatcher;
 	readonly hub: LinkHub;
 	readonly placement: Placement;
 	readonly runner: CallRunner;
+	private readonly placeCheck: PlaceCheck;
 	private readonly socket: GossipSocket;
 	private readonly budgets: LinkBudgets;
 	private readonly pauseDetector: PauseDetector;
@@ -91,6 +95,9 @@
 		const incarnation =
 			clock.wallNow() * incarnationRandomBound + randomInt(incarnationRandomBound);
 		this.instance = `${this.id}#${incarnation}`;
+		this.evacuations = new EvacuatedZones(clock, this.id);
+		const {evacuations: zones} = this;
+		this.placeCheck = new PlaceCheck({place: settings, zones, revisions});
 		this.pauseDetector = new PauseDetector(clock);
 		this.budgets = new LinkBudgets({clock, metrics, revisions, gossip: () => this.gossip});
 		this.socket = this.createGossipSocket();
@@ -124,6 +131,8 @@
 			runnerTo: (executor) => (executor === this.id ? this.executor : this.hub.runnerTo(executor)),
 		});
 		this.watchMembers();
+		const {gossip, executor} = this;
+		new EvacuationMonitor({clock, logger, metrics, gossip, zones, executor}).start();
 	}
 
 	/** State of the node in its lifecycle. */
@@ -136,6 +145,15 @@
 		return this.state === NodeState.Ready || this.state === NodeState.Draining;
 	}
 
+	/**
+	 * @param requestId - id of a nested call.
+	 * @returns the regions that the request which it belongs to may be sent to; undefined for any.
+	 */
+	regionsOfParent(requestId: string): readonly string[] | undefined {
+		const parent = this.executor.findParent(requestId);
+		return parent && this.placeCheck.regionsOf(parent);
+	}
+
 	/** Opens the ports for links and gossip. */
 	async listen(): Promise<void> {
 		const {address, linkPort} = this.settings;
@@ -221,8 +239,16 @@
 				this.socket.send(to, message);
 			},
 			mayProbe: (member) => this.budgets.mayProbe(member),
-			knownRevisions: () => this.revisions.known,
+			knownRevisions: () => {
+				const {known} = this.revisions;
+				const evacuation = this.evacuations.advertised;
+				return evacuation ? {...known, evacuation} : known;
+			},
 			handleKnownRevisions: (known, from) => {
+				if (known.evacuation) {
+					this.evacuations.merge(known.evacuation, from);
+				}
+
 				this.hooks.handleKnownRevisions(known, from);
 			},
 			handleRumor: (rumor) => {
@@ -259,6 +285,7 @@
 			disabled: this.settings.disabled,
 			createSender: (target) => new BackendClient(target, this.hooks.backendProtocol, this.clock),
 			crashWatch: this.crashWatcher,
+			checkPlace: (head) => this.placeCheck.check(head),
 			onBackendUnreachable: () => {
 				this.backend.markUnreachable();
 			},
--- a/src/wiring/operator-routes.ts
+++ b/src/wiring/operator-routes.ts
@@ -2,6 +2,7 @@
 import {parseAnnouncement} from '../node/announcement.js';
 import {NodeState} from '../node/node-lifecycle.js';
 import {jsonReply, textReply, type OperatorServer} from '../operations/index.js';
+import {listZones, type ZoneList} from '../node/zone-list.js';
 import type {NodeCore} from './node-core.js';
 
 /** Part of a node that the operator routes use. */
@@ -33,6 +34,7 @@
 	server.registerHandler('GET /v1/members', () =>
 		jsonReply({members: [...node.core.gossip.directory.all()]}),
 	);
+	server.registerHandler('GET /v1/zones', () => jsonReply(describeZones(node.core)));
 	server.registerHandler('POST /v1/backend', (body) => {
 		node.core.backend.handleAnnouncement(parseAnnouncement(body));
 		return jsonReply({state: node.core.backend.state});
@@ -48,6 +50,11 @@
 	});
 }
 
+function describeZones({clock, gossip, evacuations}: NodeCore): ZoneList {
+	const zones = listZones(gossip.directory.all(), evacuations.current, clock.now());
+	return {zones, position: evacuations.readAt};
+}
+
 function statusOf(node: OperatedNode) {
 	const {accepted, staged} = node.core.revisions.known;
 	return {
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -1,6 +1,7 @@
 import {second, type Clock, type Millis, type Undo} from '../clock/index.js';
 import {
 	ConfigurationFeed,
+	EvacuationReader,
 	mustReadStore,
 	Roster,
 	type ConfigurationSource,
@@ -54,9 +55,14 @@
 	createStore(metrics: Metrics): RoutedStore;
 	/**
 	 * @param isNestedCall - returns whether the request with this id is made on behalf of a running one.
+	 * @param regionsOfParent - returns the regions that the request which a nested call belongs to may be sent
+	 * to; undefined for any.
 	 * @returns the protocol for callers.
 	 */
-	createCallerProtocol(isNestedCall: (requestId: string) => boolean): CallerProtocol;
+	createCallerProtocol(
+		isNestedCall: (requestId: string) => boolean,
+		regionsOfParent: (requestId: string) => readonly string[] | undefined,
+	): CallerProtocol;
 	/** Registers the routes for announcements of the backend server. */
 	registerAnnouncements(server: OperatorServer, node: RoutedNode): void;
 }
@@ -143,6 +149,7 @@
 			hub,
 			store,
 			source,
+			evacuations: this.createEvacuationReader(),
 			isReader: () => mustReadStore(gossip, clock),
 		});
 		this.probe = new BackendProbe({
@@ -158,7 +165,10 @@
 			clock,
 			metrics,
 			logger,
-			protocol: adapters.createCallerProtocol((id) => executor.isRunningParentOf(id)),
+			protocol: adapters.createCallerProtocol(
+				(id) => executor.isRunningParentOf(id),
+				(id) => this.core.regionsOfParent(id),
+			),
 			keyedCalls: undefined,
 			configuration: () => (this.core.isAcceptingCalls ? revisions.inForce : undefined),
 			runCall: async (call) => runner.run(call),
@@ -250,6 +260,14 @@
 		return isClean;
 	}
 
+	private createEvacuationReader(): EvacuationReader | undefined {
+		const {source} = this.adapters;
+		const {evacuations: zones} = this.core;
+		const {logger} = this;
+		const evacuatedZone = source.evacuatedZone?.bind(source);
+		return evacuatedZone && new EvacuationReader({logger, zones, evacuatedZone});
+	}
+
 	private findBackend(): void {
 		const {clock, logger} = this;
 		const {endpoint, service} = this.settings.backend;
@@ -294,7 +312,12 @@
 		runner.reconsiderHedges(id);
 	}
 
-	private createPlacement({clock, gossip, random}: NodeCore): ObjectivePlacement {
+	private createPlacement({
+		clock,
+		gossip,
+		random,
+		evacuations: zones,
+	}: NodeCore): ObjectivePlacement {
 		const {otherZoneCost: otherZone, otherRegionCost: otherRegion} = this.settings.ways;
 		this.placement = new ObjectivePlacement({
 			clock,
@@ -303,6 +326,7 @@
 			random,
 			disabled: this.settings.disabled,
 			costs: {otherZone, otherRegion},
+			zones,
 			lowestPriority: () => this.lowestPriority,
 		});
 		return this.placement;
--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -166,9 +166,9 @@
 			backendProtocol: new TurmericBackendProtocol(),
 			announcementTimeout: undefined,
 			isRestart: false,
-			createPlacement({clock, random, gossip, revisions}) {
+			createPlacement({clock, random, gossip, revisions, evacuations: zones}) {
 				const routing = new ExpectedWaitPolicy({clock, random, self: () => gossip.localMember});
-				return new NearestFirstPlacement({clock, gossip, routing, revisions});
+				return new NearestFirstPlacement({clock, gossip, routing, revisions, zones});
 			},
 			budgetBursts: () => budgetBursts,
 			// Backend servers of the native protocol don't report their speed.
