--- a/src/ingress/__tests__/unit/call-runner.test.ts
+++ b/src/ingress/__tests__/unit/call-runner.test.ts
@@ -160,6 +160,26 @@
 		expect(attempts).toBe(4);
 	});
 
+	it.each([RefusalReason.ZoneEvacuated, RefusalReason.RegionNotAllowed])(
+		'spends no retry budget on executors that refuse calls as %s, and returns the reason if all do',
+		async (reason) => {
+			const tried = new Set<string>();
+			const runner = createRunner(6, (_attempt, executor) => {
+				tried.add(executor);
+				return tried.size % 6 === 0 ? answered : createRefused(reason, load);
+			});
+			for (let i = 0; i < 100; i++) {
+				tried.clear();
+				const {result, attempts} = await runner.run(createCall(false));
+				expect({end: result.end, attempts}).toEqual({end: AttemptEnd.Answered, attempts: 6});
+			}
+
+			const refusing = createRunner(6, () => createRefused(reason, load));
+			const end = await refusing.run(createCall(false));
+			expect(end).toMatchObject({attempts: 6, result: {end: AttemptEnd.Refused, reason}});
+		},
+	);
+
 	it('does not report a call as not run when an earlier attempt may have run', async () => {
 		let attempts = 0;
 		const runner = createRunner(6, () => {
--- a/src/link/__tests__/unit/frame-codec.test.ts
+++ b/src/link/__tests__/unit/frame-codec.test.ts
@@ -19,6 +19,26 @@
 	failureShare: 0.25,
 	slowdown: 7,
 };
+const open: Frame = {
+	type: FrameType.Open,
+	stream: 2,
+	target: OpenTarget.Executor,
+	sequence: 9,
+	service: 's',
+	customer: 'c',
+	method: 'POST',
+	path: '/',
+	headers: ['x', 'y'],
+	isIdempotent: false,
+	key: undefined,
+	origin: {requestId: 'r1', caller: 'a', route: 'r', priority: 2},
+	fingerprint: 'f',
+	share: 1,
+	canRetryElsewhere: true,
+	timeLeft: 12.5,
+	objectiveLeft: 4.25,
+	body: Uint8Array.from([1, 2]),
+};
 const frames: Frame[] = [
 	{type: FrameType.Challenge, version: 1, nonce: 'n'},
 	{type: FrameType.Hello, version: 1, id: 'a', instance: 'i', region: 'r', nonce: 'n', proof: 'p'},
@@ -80,6 +100,24 @@
 		});
 	});
 
+	it.each([[['north', 'south']], [[]]])(
+		'appends the allowed regions %j of a call, which earlier builds ignore',
+		(allowedRegions) => {
+			const plain = unpack(encodeFrame(open)) as unknown[];
+			const bytes = encodeFrame({...open, allowedRegions});
+			const fields = unpack(bytes) as unknown[];
+			expect(fields.slice(0, -1)).toEqual(plain);
+			expect(decodeFrame(bytes)).toMatchObject({type: FrameType.Open, allowedRegions});
+			expect(decodeFrame(encodeFrame(open))).toMatchObject({allowedRegions: undefined});
+		},
+	);
+
+	it('rejects allowed regions that are not strings', () => {
+		const fields = unpack(encodeFrame(open)) as unknown[];
+		expect(() => decodeFrame(pack([...fields, [1]]))).toThrow(FrameDecodeError);
+		expect(() => decodeFrame(pack([...fields, 'north']))).toThrow(FrameDecodeError);
+	});
+
 	it('preserves the bytes of a Data frame', () => {
 		const bytes = Uint8Array.from([1, 2, 3]);
 		const frame = decodeFrame(encodeFrame({type: FrameType.Data, stream: 4, bytes}));
