--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -1,10 +1,13 @@
 /** Nodes of the users' platform as processes on loopback, with a stand-in store and backend servers. */
 import {Buffer} from 'node:buffer';
+import {execFile} from 'node:child_process';
 import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {type Agent, request as httpRequest} from 'node:http';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import process from 'node:process';
+import {promisify} from 'node:util';
 import {ProcessGroup} from '../deployment/process-group.js';
 import {readUsage, type ProcessUsage} from '../deployment/process-usage.js';
 import {MeshBackend} from './mesh-backend.js';
@@ -223,6 +226,13 @@
 		return zones;
 	}
 
+	/** @returns the lines that a command of `turmericctl` for a node writes. */
+	async control(command: string, {address}: MeshNode): Promise<string[]> {
+		const args = ['dist/src/bin/turmericctl.js', command, `${address}:${ports.operators}`];
+		const {stdout} = await promisify(execFile)(process.execPath, args);
+		return stdout.trimEnd().split('\n');
+	}
+
 	/** @returns the configuration version in force at the node. */
 	async version(node: MeshNode): Promise<number> {
 		const status = await this.status(node);
--- a/src/bin/turmericctl.ts
+++ b/src/bin/turmericctl.ts
@@ -33,6 +33,7 @@
 	readDeclarationFolder,
 	type ApplyResult,
 } from '../operator/index.js';
+import {formatZones, type ZoneList} from '../node/zone-list.js';
 import {createRandom} from '../random/index.js';
 import {parseEndpoint} from '../settings/index.js';
 import {GuardedStore} from '../store/index.js';
@@ -351,12 +352,38 @@
 		}),
 });
 
+const zones = command({
+	name: 'zones',
+	description:
+		'Lists the availability zones that a node knows, which are evacuated, for how long, and how the node learned of it.',
+	args: {node: nodeArgument, json},
+	handler: async ({node, json: isJson}) =>
+		runAndReport(isJson, async () => {
+			const text = await requestNode(node, 'GET', '/v1/zones');
+			// Written by a node of the same version.
+			const list = JSON.parse(text) as ZoneList; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+			write(isJson, list, formatZones(list));
+			return ExitCode.Ok;
+		}),
+});
+
 const program = subcommands({
 	name: 'turmericctl',
 	description:
 		'Manages a deployment: applies declaration files, shows revisions and controls nodes.',
 	version: packageVersion(),
-	cmds: {check, plan, apply, status, history, diff, drain, holds, 'retire-zone': retireZone},
+	cmds: {
+		check,
+		plan,
+		apply,
+		status,
+		history,
+		diff,
+		drain,
+		holds,
+		zones,
+		'retire-zone': retireZone,
+	},
 });
 
 await run(program, process.argv.slice(2));
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -58,8 +58,12 @@
 	return [origin.requestId, origin.caller, origin.route, origin.priority];
 }
 
+// Fields that earlier builds do not know end a frame; those that are undefined take no bytes there.
+function withoutTrailingGap(fields: readonly unknown[]): readonly unknown[] {
+	return fields.slice(0, fields.findLastIndex((field) => field !== undefined) + 1);
+}
+
 function packOpen(frame: OpenFrame): readonly unknown[] {
-	const {allowedRegions} = frame;
 	return [
 		frame.type,
 		frame.stream,
@@ -79,7 +83,7 @@
 		round(frame.timeLeft),
 		round(frame.objectiveLeft),
 		frame.body,
-		...(allowedRegions ? [allowedRegions] : []),
+		...withoutTrailingGap([frame.allowedRegions]),
 	];
 }
 
--- a/src/node/evacuation-monitor.ts
+++ b/src/node/evacuation-monitor.ts
@@ -18,6 +18,8 @@
 	readonly gossip: Pick<Gossip, 'directory' | 'localMember' | 'broadcastUpdates'>;
 	readonly zones: Pick<EvacuatedZones, 'current' | 'isEvacuated' | 'registerListener'>;
 	readonly executor: Pick<Executor, 'refuseQueue'>;
+	/** Called when the evacuation of the local zone has ended; its backend server may be cold. */
+	onOwnZoneReturned(): void;
 }
 
 const broadcastFanOut = 4;
@@ -47,6 +49,8 @@
 		metrics.isEvacuated.set(isOwnEvacuated ? 1 : 0);
 		if (isOwnEvacuated) {
 			executor.refuseQueue(RefusalReason.ZoneEvacuated);
+		} else if (isZoneOf(zone, gossip.localMember)) {
+			this.deps.onOwnZoneReturned();
 		}
 
 		gossip.broadcastUpdates(broadcastFanOut);
--- a/src/node/zone-list.ts
+++ b/src/node/zone-list.ts
@@ -1,4 +1,4 @@
-import type {Millis} from '../clock/index.js';
+import {second, type Millis} from '../clock/index.js';
 import {isZoneOf, type Evacuation, type StorePosition} from '../evacuation/index.js';
 import {isPresent, isRoutable, type Member} from '../membership/index.js';
 
@@ -61,6 +61,25 @@
 	return [...entries, ...unknown];
 }
 
+/**
+ * @param list - the availability zones that a node knows.
+ * @returns a line for each zone, and one with the position of the store.
+ */
+export function formatZones({zones, position}: ZoneList): string[] {
+	const lines = zones.map(({zone, region, members, serving, isEvacuated, age = 0, source}) => {
+		const place = region === '' ? zone : `${region}/${zone}`;
+		const state = isEvacuated
+			? `evacuated for ${Math.round(age / second)} s, from ${source}`
+			: 'in use';
+		const size = members === 0 ? 'no known node' : `${serving} of ${members} nodes serve`;
+		return `${place}: ${state}; ${size}`;
+	});
+	const {era = 'none', version} = position ?? {};
+	return version === undefined
+		? [...lines, 'evacuations were not read yet']
+		: [...lines, `evacuations as of version ${version}, era ${era} of the store`];
+}
+
 function describe(
 	evacuation: Evacuation | undefined,
 	now: Millis,
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -132,7 +132,15 @@
 		});
 		this.watchMembers();
 		const {gossip, executor} = this;
-		new EvacuationMonitor({clock, logger, metrics, gossip, zones, executor}).start();
+		new EvacuationMonitor({
+			clock,
+			logger,
+			metrics,
+			gossip,
+			zones,
+			executor,
+			onOwnZoneReturned: () => undefined,
+		}).start();
 	}
 
 	/** State of the node in its lifecycle. */
--- a/tests/evacuation.test.ts
+++ b/tests/evacuation.test.ts
@@ -92,6 +92,9 @@
 		expect(inA.backend.seen).toHaveLength(before);
 		expect(await running).toMatchObject({status: 200});
 		expect(mesh.log(inA).filter(({event}) => event === 'zone-evacuated')).toHaveLength(1);
+		const lines = await mesh.control('zones', inB);
+		expect(lines).toContainEqual(expect.stringMatching(/^one\/a: evacuated for \d+ s, from /v));
+		expect(lines).toContainEqual(expect.stringMatching(/^two\/c: in use; 1 of 1 nodes serve$/v));
 	});
 
 	it('return to the zone when the row is removed', async () => {
