--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -1,10 +1,13 @@
 /** Nodes of the users' platform as processes on loopback, with a stand-in store and backend servers. */
 import {Buffer} from 'node:buffer';
+import {execFile} from 'node:child_process';
 import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {type Agent, request as httpRequest} from 'node:http';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import process from 'node:process';
+import {promisify} from 'node:util';
 import {ProcessGroup} from '../deployment/process-group.js';
 import {readUsage, type ProcessUsage} from '../deployment/process-usage.js';
 import {MeshBackend} from './mesh-backend.js';
@@ -48,6 +51,14 @@
 	readonly kind: 'safe' | 'unsafe';
 	readonly service: string;
 	readonly timeout_ms?: number;
+	readonly allowed_regions?: readonly string[];
+}
+
+/** An availability zone as a node shows it to operators. */
+export interface MeshZone {
+	readonly zone: string;
+	readonly isEvacuated: boolean;
+	readonly source?: string;
 }
 
 const ports = {callers: 7600, readiness: 7601, announcements: 7602, link: 7603, operators: 7604};
@@ -164,9 +175,11 @@
 	}
 
 	async writeRow(table: string, key: string, value: string): Promise<void> {
-		const entry = {table, part: '', key, value};
-		const body = JSON.stringify({expect: [], put_entries: [entry], removals: []});
-		await fetch(`http://${this.store}/v1/rows-tx`, {method: 'POST', body});
+		await this.commit({put_entries: [{table, part: '', key, value}]});
+	}
+
+	async removeRow(table: string, key: string): Promise<void> {
+		await this.commit({removals: [{table, part: '', key}]});
 	}
 
 	async setStoreFaults(faults: Record<string, unknown>): Promise<void> {
@@ -214,6 +227,20 @@
 		return Number(line?.slice(name.length + 1));
 	}
 
+	/** @returns what the node says to operators about the availability zones that it knows. */
+	async zones(node: MeshNode): Promise<MeshZone[]> {
+		const res = await fetch(`http://${node.address}:${ports.operators}/v1/zones`);
+		const {zones} = (await res.json()) as {zones: MeshZone[]};
+		return zones;
+	}
+
+	/** @returns the lines that a command of `turmericctl` for a node writes. */
+	async control(command: string, {address}: MeshNode): Promise<string[]> {
+		const args = ['dist/src/bin/turmericctl.js', command, `${address}:${ports.operators}`];
+		const {stdout} = await promisify(execFile)(process.execPath, args);
+		return stdout.trimEnd().split('\n');
+	}
+
 	/** @returns the configuration version in force at the node. */
 	async version(node: MeshNode): Promise<number> {
 		const status = await this.status(node);
@@ -303,6 +330,11 @@
 		rmSync(this.folder, {recursive: true, force: true});
 	}
 
+	private async commit(transaction: Record<string, unknown>): Promise<void> {
+		const body = JSON.stringify({expect: [], put_entries: [], removals: [], ...transaction});
+		await fetch(`http://${this.store}/v1/rows-tx`, {method: 'POST', body});
+	}
+
 	private settingsFile(node: MeshNode): string {
 		return join(this.folder, `${node.name}.ini`);
 	}
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -6,7 +6,7 @@
 	type LoadReport,
 	type RequestOrigin,
 } from '../call/index.js';
-import {FrameType, OpenTarget, type Frame, type RefusedFrame} from './frame.js';
+import {FrameType, OpenTarget, type Frame, type OpenFrame, type RefusedFrame} from './frame.js';
 
 /** The bytes are not a valid frame of this protocol. */
 export class FrameDecodeError extends Error {
@@ -58,6 +58,35 @@
 	return [origin.requestId, origin.caller, origin.route, origin.priority];
 }
 
+// Fields that earlier builds do not know end a frame; those that are undefined take no bytes there.
+function withoutTrailingGap(fields: readonly unknown[]): readonly unknown[] {
+	return fields.slice(0, fields.findLastIndex((field) => field !== undefined) + 1);
+}
+
+function packOpen(frame: OpenFrame): readonly unknown[] {
+	return [
+		frame.type,
+		frame.stream,
+		frame.target,
+		frame.sequence,
+		frame.service,
+		frame.customer,
+		frame.method,
+		frame.path,
+		frame.headers,
+		frame.isIdempotent,
+		frame.key,
+		packOrigin(frame.origin),
+		frame.fingerprint,
+		frame.share,
+		frame.canRetryElsewhere,
+		round(frame.timeLeft),
+		round(frame.objectiveLeft),
+		frame.body,
+		...withoutTrailingGap([frame.allowedRegions]),
+	];
+}
+
 function packFields(frame: Frame): readonly unknown[] {
 	const {type} = frame;
 	switch (type) {
@@ -75,26 +104,7 @@
 		}
 
 		case FrameType.Open: {
-			return [
-				type,
-				frame.stream,
-				frame.target,
-				frame.sequence,
-				frame.service,
-				frame.customer,
-				frame.method,
-				frame.path,
-				frame.headers,
-				frame.isIdempotent,
-				frame.key,
-				packOrigin(frame.origin),
-				frame.fingerprint,
-				frame.share,
-				frame.canRetryElsewhere,
-				round(frame.timeLeft),
-				round(frame.objectiveLeft),
-				frame.body,
-			];
+			return packOpen(frame);
 		}
 
 		case FrameType.Credit: {
@@ -278,6 +288,14 @@
 		};
 	}
 
+	optionalTexts(): readonly string[] | undefined {
+		return this.optional(() => {
+			const fields = this.list();
+			const texts = new FieldReader(fields);
+			return fields.map(() => texts.text());
+		});
+	}
+
 	optionalLoad(): LoadReport | undefined {
 		return this.optional(() => this.load());
 	}
@@ -367,6 +385,7 @@
 		timeLeft: fields.number(),
 		objectiveLeft: fields.number(),
 		body: fields.optionalBytes(),
+		allowedRegions: fields.optionalTexts(),
 	}),
 	[FrameType.Credit]: (fields) => ({
 		type: FrameType.Credit,
