--- a/src/link/__tests__/unit/link-hub.test.ts
+++ b/src/link/__tests__/unit/link-hub.test.ts
@@ -31,7 +31,7 @@
 			staleness: () => 0,
 			runnerFor: () => runner,
 			queryAndFence: () => AttemptState.Fenced,
-			getContent: () => undefined,
+			getContent: () => ({content: undefined, delta: undefined}),
 			acceptHandover: () => undefined,
 			peerLeaving: () => undefined,
 			peerLoadReported: () => undefined,
