--- a/src/ingress/caller-connection.ts
+++ b/src/ingress/caller-connection.ts
@@ -102,6 +102,20 @@
 		}
 	}
 
+	/**
+	 * Decides whether the connection closes behind the answer, if all earlier answers are complete.
+	 * @param mustBeRead - whether the connection closes if the request has not been read to its end by now.
+	 * @returns whether the answer may be written now; otherwise `waitToAnswer` waits.
+	 */
+	tryAnswer(mustBeRead: boolean): boolean {
+		const isPermitted = !this.isLost && this.isNext;
+		if (isPermitted) {
+			this.connection.startAnswer(this, mustBeRead && !this.req.complete);
+		}
+
+		return isPermitted;
+	}
+
 	/**
 	 * Waits until the answer may be written, and decides whether the connection closes behind it.
 	 * @param bytes - memory that the answer takes while it waits, in bytes.
@@ -114,12 +128,7 @@
 			await this.whenNext();
 		}
 
-		if (this.isLost) {
-			return false;
-		}
-
-		this.connection.startAnswer(this, mustBeRead && !this.req.complete);
-		return true;
+		return this.tryAnswer(mustBeRead);
 	}
 
 	/** Waits until all earlier answers are complete, or the connection is lost. */
@@ -171,6 +180,8 @@
 	private readonly turns = new Map<PipelinedRequest, CallerTurn>();
 	private requests = 0;
 	private isReadPaused = false;
+	/** Whether the listener that keeps the connection paused is registered. */
+	private isPauseKept = false;
 	private isLingering = false;
 
 	constructor(
@@ -185,13 +196,6 @@
 		socket.destroySoon = () => {
 			this.closeGracefully();
 		};
-
-		// The HTTP server resumes the connection whenever the body of a request is read.
-		socket.on('resume', () => {
-			if (this.isReadPaused) {
-				socket.pause();
-			}
-		});
 	}
 
 	/**
@@ -389,12 +393,25 @@
 		this.updateReading();
 	}
 
+	// The HTTP server resumes the connection whenever the body of a request is read.
+	private keepPaused(): void {
+		if (!this.isPauseKept) {
+			this.isPauseKept = true;
+			this.socket.on('resume', () => {
+				if (this.isReadPaused) {
+					this.socket.pause();
+				}
+			});
+		}
+	}
+
 	// A connection with many unanswered requests is not read further, so that the requests of one caller take a
 	// bounded amount of memory: those of one read beyond the limit.
 	private updateReading(): void {
 		const isFull = this.pipeline.isFull && !this.isLingering;
 		if (isFull && !this.isReadPaused) {
 			this.isReadPaused = true;
+			this.keepPaused();
 			this.socket.pause();
 		} else if (!isFull && this.isReadPaused) {
 			this.isReadPaused = false;
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -356,11 +356,13 @@
 			turn.closeBehind();
 		}
 
-		// A stream that fails before its turn reports this when it is piped.
-		stream?.on('error', () => undefined);
-		if (!(await turn.waitToAnswer(body.bytes?.length ?? maxInlineBodyBytes, false))) {
-			stream?.destroy();
-			return Outcome.Unknown;
+		if (!turn.tryAnswer(false)) {
+			// A stream that fails while it waits is found to be `errored` afterwards.
+			stream?.on('error', () => undefined);
+			if (!(await turn.waitToAnswer(body.bytes?.length ?? maxInlineBodyBytes, false))) {
+				stream?.destroy();
+				return Outcome.Unknown;
+			}
 		}
 
 		if (stream?.errored) {
@@ -428,7 +430,7 @@
 		this.deps.metrics.refusals.inc({reason});
 		const text = `${JSON.stringify({outcome: refusal.outcome, reason, attempts: end?.attempts})}\n`;
 		// The rest of a refused request is not read.
-		if (await turn.waitToAnswer(text.length, true)) {
+		if (turn.tryAnswer(true) || (await turn.waitToAnswer(text.length, true))) {
 			this.writeHead(turn.res, refusal.status, this.refusalHeaders(notice, text));
 			turn.res.end(text);
 		}
--- a/src/ingress/request-pipeline.ts
+++ b/src/ingress/request-pipeline.ts
@@ -192,7 +192,10 @@
 	 * @param request - the request whose answer has been written completely.
 	 */
 	complete(request: PipelinedRequest): void {
-		this.drop([request]);
+		if (request === this.queue[0]) {
+			this.queue.shift();
+			this.account(request);
+		}
 	}
 
 	/**
@@ -224,13 +227,17 @@
 			const i = this.queue.indexOf(request);
 			if (i !== -1) {
 				this.queue.splice(i, 1);
-				this.heldBytes -= request.heldBytes;
-				this.forwarded -= request.isForwarded ? 1 : 0;
+				this.account(request);
 			}
 		}
 
 		return requests;
 	}
+
+	private account(removed: PipelinedRequest): void {
+		this.heldBytes -= removed.heldBytes;
+		this.forwarded -= removed.isForwarded ? 1 : 0;
+	}
 }
 
 /** Whether a later request may run before this one is answered. */
