Decide by a customer's key before the body is read and by the newest configuration known

Change: the body is requested once the head is accepted. A node that is behind waits up to 50 ms for the newer configuration and then answers 503. A configuration that does not fit into one frame between nodes is rejected, as only the nodes that read the store could use it.

--- a/src/control/configuration-feed.ts
+++ b/src/control/configuration-feed.ts
@@ -1,11 +1,5 @@
 import {second, type Clock, type Millis, type Undo} from '../clock/index.js';
-import {
-	hashContent,
-	serializeDeclaration,
-	type Declaration,
-	type RevisionTracker,
-	type KnownRevisions,
-} from '../declaration/index.js';
+import type {Declaration, RevisionTracker, KnownRevisions} from '../declaration/index.js';
 import type {LinkHub} from '../link/index.js';
 import type {Gossip} from '../membership/index.js';
 import type {Random} from '../random/index.js';
@@ -19,6 +13,7 @@
 import {logEvents, type Logger} from '../telemetry/index.js';
 import {pause} from '../util/index.js';
 import {ContentFetcher} from './content-fetcher.js';
+import {readWrittenContent, type WrittenContent} from './written-content.js';
 
 /** A configuration parsed from the row that operators write. */
 export interface WrittenConfiguration {
@@ -210,17 +205,15 @@
 			return;
 		}
 
-		let written: WrittenConfiguration;
+		let written: WrittenContent;
 		try {
-			written = source.parse(value);
+			written = readWrittenContent(source, value);
 		} catch (err) {
 			logger.log(logEvents.revisionRejected, {error: String(err)});
 			return;
 		}
 
-		const content = serializeDeclaration(written.declaration);
-		const hash = hashContent(content);
-		const {revision} = written;
+		const {revision, content, hash} = written;
 		const known = {accepted: revision, acceptedHash: hash, staged: 0, stagedHash: ''};
 		if (
 			revision <= revisions.known.accepted &&
--- a/src/declaration/revision-tracker.ts
+++ b/src/declaration/revision-tracker.ts
@@ -77,6 +77,11 @@
 		return this.newest;
 	}
 
+	/** Whether a revision newer than the one in force is known to be accepted; its content is not held yet. */
+	get isBehind(): boolean {
+		return this.newest.accepted > (this.index?.revision ?? 0);
+	}
+
 	/** The highest revision whose content this node holds. */
 	get heldRevision(): number {
 		const {accepted, acceptedHash, staged, stagedHash} = this.newest;
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -16,7 +16,7 @@
 	type RequestHead,
 } from '../call/index.js';
 import {second, type Clock, type Millis} from '../clock/index.js';
-import type {DeclarationIndex} from '../declaration/index.js';
+import type {DeclarationIndex, RevisionTracker} from '../declaration/index.js';
 import {
 	AttemptEnd,
 	Cancellation,
@@ -35,6 +35,7 @@
 	type RefusalNotice,
 } from './caller-protocol.js';
 import {fingerprint} from './fingerprint.js';
+import {NewestConfiguration} from './newest-configuration.js';
 import {readRequestBody, RequestBodyError} from './request-body.js';
 
 export interface IngressDependencies {
@@ -44,6 +45,7 @@
 	readonly protocol: CallerProtocol;
 	/** Undefined if idempotency keys are not supported. */
 	readonly keyedCalls: KeyedCalls | undefined;
+	readonly revisions: Pick<RevisionTracker, 'isBehind' | 'registerListener'>;
 	/** @returns the configuration in force; undefined while the node is not ready. */
 	configuration(): DeclarationIndex | undefined;
 	/** Runs a call that has no idempotency key or is idempotent. */
@@ -62,9 +64,13 @@
 export class Ingress {
 	private readonly server: Server;
 	private readonly calls = new Set<ServerResponse>();
+	/** Requests whose caller waits for 100 (Continue) before it sends the body. */
+	private readonly awaitingContinue = new WeakSet<IncomingMessage>();
+	private readonly newest: NewestConfiguration;
 	private isDraining = false;
 
 	constructor(private readonly deps: IngressDependencies) {
+		this.newest = new NewestConfiguration(deps.clock, deps.revisions, () => deps.configuration());
 		this.server = createServer(
 			{
 				maxHeaderSize: maxHeaderBytes,
@@ -81,7 +87,8 @@
 			},
 		);
 		this.server.on('checkContinue', (req: IncomingMessage, res: ServerResponse) => {
-			res.writeContinue();
+			// The body is requested in createCall(), once it is known that the request is not refused for its head.
+			this.awaitingContinue.add(req);
 			void this.handle(req, res);
 		});
 		this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Duplex) => {
@@ -145,8 +152,7 @@
 			throw new RefusedRequestError(RefusalReason.TooManyCalls);
 		}
 
-		const index = this.deps.configuration();
-		if (!index) {
+		if (!this.deps.configuration()) {
 			throw new RefusedRequestError(RefusalReason.NotReady);
 		}
 
@@ -156,7 +162,7 @@
 		}
 
 		checkHead(req);
-		const call = await this.createCall(req, res, index);
+		const call = await this.createCall(req, res);
 		const end = await this.run(call);
 		return this.sendEnd(res, call, end);
 	}
@@ -179,14 +185,21 @@
 		return Outcome.Answered;
 	}
 
-	private async createCall(
-		req: IncomingMessage,
-		res: ServerResponse,
-		index: DeclarationIndex,
-	): Promise<Call> {
+	private async createCall(req: IncomingMessage, res: ServerResponse): Promise<Call> {
 		const startedAt = this.deps.clock.now();
-		const parameters = this.deps.protocol.readParameters(req, index);
-		this.checkLength(req, index);
+		const {index, parameters} = await this.newest.read((newest) => {
+			const read = this.deps.protocol.readParameters(req, newest);
+			this.checkLength(req, newest);
+			return {index: newest, parameters: read};
+		});
+		if (req.destroyed) {
+			throw new RequestBodyError('connection closed before the request was read');
+		}
+
+		if (this.awaitingContinue.has(req)) {
+			res.writeContinue();
+		}
+
 		const body = await readRequestBody(req);
 		const head = createHead(req, parameters, body);
 		const cancellation = new Cancellation();
--- a/src/link/index.ts
+++ b/src/link/index.ts
@@ -4,3 +4,4 @@
 export {LinkCloseReason, type PeerIdentity} from './link.js';
 export {LinkHub, type LinkHubDelegate, type LinkHubDependencies} from './link-hub.js';
 export {PeerSession} from './peer-session.js';
+export {maxFrameBytes} from './link-limits.js';
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -158,6 +158,7 @@
 			clock,
 			metrics,
 			logger,
+			revisions,
 			protocol: adapters.createCallerProtocol((id) => executor.isRunningParentOf(id)),
 			keyedCalls: undefined,
 			configuration: () => (this.core.isAcceptingCalls ? revisions.inForce : undefined),
--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -90,6 +90,7 @@
 			clock,
 			metrics,
 			logger,
+			revisions,
 			protocol: new TurmericCallerProtocol(instance),
 			keyedCalls: this.keyedCalls,
 			configuration: () => (this.core.isAcceptingCalls ? revisions.inForce : undefined),
