Show what customers use, and divide budgets and calls in flight between them

turmericctl customers and GET /v1/customers show limit, use, share, running calls, age and refusals by reason of each customer, never a key or a digest. Two counters have a label for 100 customers at most. Retries and hedges that calls of one priority earn are for that priority and higher ones, and a customer that is refused all the time spends what its own calls have earned. Calls without a customer use the budgets as before.

--- a/scaffold/mesh/mesh-backend.ts
+++ b/scaffold/mesh/mesh-backend.ts
@@ -10,6 +10,8 @@
 	readonly path: string;
 	readonly body: string;
 	readonly headers: IncomingMessage['headers'];
+	readonly rawHeaders: readonly string[];
+	readonly trailers: IncomingMessage['trailers'];
 	readonly at: number;
 	/** Set once the connection closes before the answer was written. */
 	isAbandoned: boolean;
@@ -157,6 +159,8 @@
 			path: req.url ?? '',
 			body: Buffer.concat(chunks).toString('utf8'),
 			headers: req.headers,
+			rawHeaders: req.rawHeaders,
+			trailers: req.trailers,
 			at: performance.now(),
 			isAbandoned: false,
 		};
--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -33,6 +33,9 @@
 	readonly deadline?: number;
 	readonly agent?: Agent;
 	readonly signal?: AbortSignal;
+	/** Further headers. */
+	readonly headers?: Readonly<Record<string, string | string[]>>;
+	readonly trailers?: Readonly<Record<string, string>>;
 }
 
 /** What a caller got. */
@@ -48,6 +51,14 @@
 	readonly kind: 'safe' | 'unsafe';
 	readonly service: string;
 	readonly timeout_ms?: number;
+	readonly anonymous?: boolean;
+}
+
+/** A customer of a configuration. */
+export interface MeshTenant {
+	readonly api_keys?: readonly string[];
+	readonly priority?: number;
+	readonly rate_per_s?: number;
 }
 
 const ports = {callers: 7600, readiness: 7601, announcements: 7602, link: 7603, operators: 7604};
@@ -138,7 +149,11 @@
 	}
 
 	/** Writes a configuration as the operator does. */
-	async configure(routes: readonly MeshRoute[], version = this.newest + 1): Promise<void> {
+	async configure(
+		routes: readonly MeshRoute[],
+		version = this.newest + 1,
+		tenants?: Readonly<Record<string, MeshTenant>>,
+	): Promise<void> {
 		this.newest = Math.max(this.newest, version);
 		const services = new Set(routes.map((route) => route.service));
 		const value = {
@@ -158,6 +173,7 @@
 				header_timeout_ms: 3000,
 				idle_timeout_ms: 15_000,
 			},
+			tenants,
 		};
 		const text = Buffer.from(JSON.stringify(value)).toString('base64');
 		await this.writeRow('op', 'config', text);
@@ -206,6 +222,17 @@
 		return (await res.json()) as {revision: {inForce: number}; members: number};
 	}
 
+	/** @returns the answer of the node's port for operators. */
+	async operatorText(node: MeshNode, path: string): Promise<string> {
+		const res = await fetch(`http://${node.address}:${ports.operators}${path}`);
+		return res.text();
+	}
+
+	/** @returns IP:port of the node's port for operators. */
+	operatorEndpoint({address}: MeshNode): string {
+		return `${address}:${ports.operators}`;
+	}
+
 	/** @returns the configuration version in force at the node. */
 	async version(node: MeshNode): Promise<number> {
 		const status = await this.status(node);
@@ -232,12 +259,13 @@
 	async send(node: MeshNode, req: MeshRequest): Promise<MeshAnswer> {
 		nextId += 1;
 		const {host = 'a.example', method = 'GET', path, body, id = `r${nextId}`} = req;
-		const headers: Record<string, string> = {
+		const headers: Record<string, string | string[]> = {
+			...req.headers,
 			host,
 			'x-attempt-id': id,
 			'x-request-deadline': String(req.deadline ?? 2000),
 		};
-		if (body !== undefined) {
+		if (body !== undefined && !req.trailers) {
 			headers['content-length'] = String(Buffer.byteLength(body));
 		}
 
@@ -259,7 +287,13 @@
 				},
 			);
 			out.once('error', reject);
-			out.end(body);
+			if (body !== undefined && req.trailers) {
+				out.write(body);
+				out.addTrailers(req.trailers);
+				out.end();
+			} else {
+				out.end(body);
+			}
 		});
 	}
 
--- a/src/bin/turmericctl.ts
+++ b/src/bin/turmericctl.ts
@@ -30,8 +30,10 @@
 import {
 	ApplyOutcome,
 	ChangeApplier,
+	formatCustomers,
 	readDeclarationFolder,
 	type ApplyResult,
+	type CustomersReply,
 } from '../operator/index.js';
 import {createRandom} from '../random/index.js';
 import {parseEndpoint} from '../settings/index.js';
@@ -351,12 +353,37 @@
 		}),
 });
 
+const customers = command({
+	name: 'customers',
+	description:
+		'Shows what each customer uses at a node: limit, use, share, age, refusals by reason.',
+	args: {node: nodeArgument, json},
+	handler: async ({node, json: isJson}) =>
+		runAndReport(isJson, async () => {
+			const text = await requestNode(node, 'GET', '/v1/customers');
+			const reply = JSON.parse(text) as CustomersReply; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+			write(isJson, reply, formatCustomers(reply));
+			return ExitCode.Ok;
+		}),
+});
+
 const program = subcommands({
 	name: 'turmericctl',
 	description:
 		'Manages a deployment: applies declaration files, shows revisions and controls nodes.',
 	version: packageVersion(),
-	cmds: {check, plan, apply, status, history, diff, drain, holds, 'retire-zone': retireZone},
+	cmds: {
+		check,
+		plan,
+		apply,
+		status,
+		history,
+		diff,
+		drain,
+		holds,
+		customers,
+		'retire-zone': retireZone,
+	},
 });
 
 await run(program, process.argv.slice(2));
--- a/src/budget/ratio-budget.ts
+++ b/src/budget/ratio-budget.ts
@@ -19,6 +19,11 @@
 		this.tokens = Math.min(this.burst, this.tokens + share);
 	}
 
+	/** Whether no additional attempt is allowed. */
+	get isEmpty(): boolean {
+		return this.tokens < 1;
+	}
+
 	/** @returns whether one additional attempt is allowed; if so, it is deducted. */
 	trySpend(): boolean {
 		if (this.tokens < 1) {
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -116,7 +116,7 @@
 	 * @returns the end of the call.
 	 */
 	async run(call: Call): Promise<CallEnd> {
-		this.budgets.earn(call.policy);
+		this.budgets.earn(call);
 		this.retryElsewhereBudget.deposit(retryElsewhereShare);
 		const progress: Progress = {
 			attempts: 0,
@@ -311,7 +311,7 @@
 
 		const query = this.query(call, progress);
 		const other = placement.hedgeExecutor(query, executor, clock.now() - sentAt);
-		if (!other || !this.budgets.trySpendHedge(call.policy.service)) {
+		if (!other || !this.budgets.trySpendHedge(call)) {
 			return;
 		}
 
@@ -422,7 +422,7 @@
 			call.head.isIdempotent &&
 			progress.connectionLosses < maxConnectionLosses &&
 			progress.arrivals < call.policy.maxAttempts;
-		if (!isRepeatable || !this.budgets.trySpendRetry(call.policy.service)) {
+		if (!isRepeatable || !this.budgets.trySpendRetry(call)) {
 			return false;
 		}
 
@@ -461,7 +461,7 @@
 
 		return (
 			progress.attempts - progress.busyRefusals < call.policy.maxAttempts &&
-			this.budgets.trySpendRetry(call.policy.service)
+			this.budgets.trySpendRetry(call)
 		);
 	}
 }
--- a/src/ingress/index.ts
+++ b/src/ingress/index.ts
@@ -8,6 +8,7 @@
 } from './caller-protocol.js';
 export {NearestFirstPlacement} from './nearest-first-placement.js';
 export {TurmericCallerProtocol} from './turmeric-caller-protocol.js';
+export type {CustomerUse} from './customer-usage.js';
 export {Ingress, type IngressDependencies} from './ingress.js';
 export {
 	attemptsHeader,
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -34,6 +34,7 @@
 	type CallParameters,
 	type RefusalNotice,
 } from './caller-protocol.js';
+import {CustomerUsage} from './customer-usage.js';
 import {fingerprint} from './fingerprint.js';
 import {NewestConfiguration} from './newest-configuration.js';
 import {readRequestBody, RequestBodyError} from './request-body.js';
@@ -54,6 +55,8 @@
 
 const maxHeaderBytes = 16_384;
 const maxInFlight = 4000;
+/** Calls in flight from which on customers get no more than their shares; the rest is for those that have less. */
+const maxSharedInFlight = 0.75 * maxInFlight;
 const headTimeout: Millis = 10 * second;
 const requestTimeout: Millis = 60 * second;
 const idleTimeout: Millis = 15 * second;
@@ -62,6 +65,8 @@
 
 /** HTTP server that accepts callers' requests and answers them. */
 export class Ingress {
+	/** What each customer uses here. */
+	readonly customers: CustomerUsage;
 	private readonly server: Server;
 	private readonly calls = new Set<ServerResponse>();
 	/** Requests whose caller waits for 100 (Continue) before it sends the body. */
@@ -70,6 +75,7 @@
 	private isDraining = false;
 
 	constructor(private readonly deps: IngressDependencies) {
+		this.customers = new CustomerUsage(deps.clock, deps.metrics, maxSharedInFlight);
 		this.newest = new NewestConfiguration(deps.clock, deps.revisions, () => deps.configuration());
 		this.server = createServer(
 			{
@@ -140,6 +146,7 @@
 			outcome = this.answerError(err, req, res);
 		} finally {
 			this.calls.delete(res);
+			this.customers.leave(res, outcome);
 			const {metrics, clock} = this.deps;
 			metrics.inFlight.set(this.calls.size);
 			metrics.calls.inc({outcome});
@@ -196,6 +203,7 @@
 			throw new RequestBodyError('connection closed before the request was read');
 		}
 
+		this.customers.enter(res, parameters, this.calls.size);
 		if (this.awaitingContinue.has(req)) {
 			res.writeContinue();
 		}
@@ -308,6 +316,7 @@
 		const {reason} = notice;
 		const refusal = refusals[reason];
 		this.deps.metrics.refusals.inc({reason});
+		this.customers.recordRefused(res, reason);
 		const text = `${JSON.stringify({outcome: refusal.outcome, reason, attempts: end?.attempts})}\n`;
 		this.writeHead(res, refusal.status, this.refusalHeaders(notice, text));
 		res.end(text);
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -39,6 +39,20 @@
 		registers: [this.registry],
 	});
 
+	readonly customerCalls = new Counter({
+		name: 'turmeric_customer_calls_total',
+		help: 'Calls of customers that ended at this ingress, by customer (100 at most, then "other") and outcome.',
+		labelNames: ['customer', 'outcome'],
+		registers: [this.registry],
+	});
+
+	readonly customerRefusals = new Counter({
+		name: 'turmeric_customer_refusals_total',
+		help: 'Calls of customers refused by this ingress, by customer (100 at most, then "other") and reason.',
+		labelNames: ['customer', 'reason'],
+		registers: [this.registry],
+	});
+
 	readonly attemptRefusals = new Counter({
 		name: 'turmeric_attempt_refusals_total',
 		help: 'Attempts refused by this executor, by reason.',
--- a/src/wiring/operator-routes.ts
+++ b/src/wiring/operator-routes.ts
@@ -1,7 +1,9 @@
+import type {CustomerUse} from '../ingress/index.js';
 import {Liveness} from '../membership/index.js';
 import {parseAnnouncement} from '../node/announcement.js';
 import {NodeState} from '../node/node-lifecycle.js';
 import {jsonReply, textReply, type OperatorServer} from '../operations/index.js';
+import {reportCustomers} from './customer-report.js';
 import type {NodeCore} from './node-core.js';
 
 /** Part of a node that the operator routes use. */
@@ -12,6 +14,8 @@
 	readonly isStoreUp: boolean | undefined;
 	/** Idempotency keys that the node stores; undefined if the node does not support keys. */
 	readonly keyedCalls: {readonly size: number} | undefined;
+	/** @returns what customers use at the node's ingress. */
+	customerUses(): readonly CustomerUse[];
 }
 
 /**
@@ -33,6 +37,11 @@
 	server.registerHandler('GET /v1/members', () =>
 		jsonReply({members: [...node.core.gossip.directory.all()]}),
 	);
+	server.registerHandler('GET /v1/customers', () => {
+		const {inForce} = node.core.revisions;
+		const customers = reportCustomers(inForce, node.customerUses());
+		return jsonReply({revision: inForce?.revision ?? 0, customers});
+	});
 	server.registerHandler('POST /v1/backend', (body) => {
 		node.core.backend.handleAnnouncement(parseAnnouncement(body));
 		return jsonReply({state: node.core.backend.state});
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -9,7 +9,12 @@
 import {createUnknown} from '../exchange/index.js';
 import {RefusalReason} from '../call/index.js';
 import type {BackendProtocol} from '../executor/index.js';
-import {Ingress, type BudgetBursts, type CallerProtocol} from '../ingress/index.js';
+import {
+	Ingress,
+	type CustomerUse,
+	type BudgetBursts,
+	type CallerProtocol,
+} from '../ingress/index.js';
 import {
 	Distance,
 	distanceBetween,
@@ -189,6 +194,11 @@
 		return this.feed.isStoreUp;
 	}
 
+	/** @returns what customers use at the ingress. */
+	customerUses(): readonly CustomerUse[] {
+		return this.ingress.customers.report();
+	}
+
 	/** Opens the ports and joins the other nodes. */
 	async start(): Promise<void> {
 		const {address, operatorPort, callerPort, readinessPort, announcementPort} = this.settings;
--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -9,7 +9,12 @@
 import {second, type Clock, type Millis} from '../clock/index.js';
 import {DeclarationStore, RevisionAgent} from '../control/index.js';
 import {TurmericBackendProtocol} from '../executor/index.js';
-import {Ingress, NearestFirstPlacement, TurmericCallerProtocol} from '../ingress/index.js';
+import {
+	Ingress,
+	type CustomerUse,
+	NearestFirstPlacement,
+	TurmericCallerProtocol,
+} from '../ingress/index.js';
 import {isPresent, MemberPhase} from '../membership/index.js';
 import {BackendProbe, crossCheckRate} from '../node/backend-probe.js';
 import {NodeEvent, NodeState} from '../node/node-lifecycle.js';
@@ -112,6 +117,11 @@
 		return this.store?.isUp;
 	}
 
+	/** @returns what customers use at the ingress. */
+	customerUses(): readonly CustomerUse[] {
+		return this.ingress.customers.report();
+	}
+
 	/** Opens the ports and joins the other nodes. */
 	async start(): Promise<void> {
 		const {address, operatorPort, callerPort} = this.settings;
