Refuse overtaken calls early for any customer whose calls become late in the queue

Cause: the rule looked at the customer whose calls start last only, so that with three priorities the calls of the middle one waited until they were late.

--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -32,6 +32,8 @@
 	readonly queue: number;
 }
 
+/** Service times for which a customer counts as one whose calls become late in the queue. */
+const overtakenMemory = 3;
 /** Duration of a short run relative to the mean: run times vary by about 30 % around it. */
 const shortRunFactor = 0.7;
 /** Refusals of calls that found no slot here and are not sent elsewhere at once. */
@@ -207,6 +209,7 @@
 				this.queuedInTime.delete(request);
 				if (!isDelayed(request)) {
 					this.lateCapacity.recordMiss(now);
+					this.overtaken.recordMiss(request, now);
 				}
 			}
 		}
@@ -214,12 +217,10 @@
 
 	// Without this, each call that an overload leaves over would be refused only when it is late.
 	private refuseOvertaken(now: Millis): void {
-		if (this.lateCapacity.isOpen(now, this.currentServiceTime())) {
-			return;
-		}
-
-		for (const request of this.overtaken.find(this.queue, this.order, now)) {
+		const missMemory = overtakenMemory * this.currentServiceTime();
+		for (const request of this.overtaken.find(this.queue, this.order, now, missMemory)) {
 			this.lateCapacity.recordMiss(now);
+			this.overtaken.recordMiss(request, now);
 			this.withdraw(request);
 			this.refuse(request, RefusalReason.DeadlineTooShort);
 		}
--- a/src/backend/overtaken-calls.ts
+++ b/src/backend/overtaken-calls.ts
@@ -1,6 +1,5 @@
 import type {Millis} from '../clock/index.js';
 import type {DispatchOrder, OrderedCall} from './dispatch-order.js';
-import {canMeetObjective} from './queue-order.js';
 
 /**
  * Time for which an overtaken call waits, as a share of the time to its objective. A refusal after an eighth of the
@@ -14,6 +13,8 @@
  */
 export class OvertakenCalls {
 	private readonly refuseAt = new Map<OrderedCall, Millis>();
+	/** When a call of each customer last became late in the queue. */
+	private readonly missedAt = new Map<string, Millis>();
 
 	/**
 	 * @param call - a call that is queued.
@@ -32,25 +33,53 @@
 		this.refuseAt.delete(call);
 	}
 
+	/**
+	 * @param call - a queued call that can no longer meet its objective.
+	 * @param now - monotonic time in ms.
+	 */
+	recordMiss(call: OrderedCall, now: Millis): void {
+		if (call.customer !== '') {
+			this.missedAt.set(call.customer, now);
+		}
+	}
+
 	/**
 	 * @param queue - the queued calls, in order of their arrival.
 	 * @param order - order in which they start.
 	 * @param now - monotonic time in ms.
-	 * @returns the calls that have waited too long behind newer calls of their customer. They are all of the customer
-	 * whose calls start last, if that one has used its share: what the others need is not taken from them.
+	 * @param missMemory - how long a customer counts as one that misses objectives, in ms.
+	 * @returns the calls that have waited too long behind newer calls of their customer, of customers that have used
+	 * their share and whose calls have become late before.
 	 */
-	find<T extends OrderedCall>(queue: readonly T[], order: DispatchOrder, now: Millis): T[] {
-		const inTime = queue.filter((call) => canMeetObjective(call, now));
-		let last = inTime[0];
-		for (const call of inTime) {
-			last = last && order.compare(call, last, now) > 0 ? call : last;
+	find<T extends OrderedCall>(
+		queue: readonly T[],
+		order: DispatchOrder,
+		now: Millis,
+		missMemory: Millis,
+	): T[] {
+		for (const [customer, missedAt] of this.missedAt) {
+			if (now - missedAt > missMemory) {
+				this.missedAt.delete(customer);
+			}
 		}
 
-		if (!last || !order.hasUsedShare(last)) {
+		if (this.missedAt.size === 0) {
 			return [];
 		}
 
-		const own = inTime.filter(({customer}) => customer === last.customer);
-		return own.slice(0, -1).filter((call) => (this.refuseAt.get(call) ?? now + 1) <= now);
+		const found: T[] = [];
+		const newer = new Set<string>();
+		for (const call of queue.toReversed()) {
+			const {customer} = call;
+			const isEligible = newer.has(customer) && this.missedAt.has(customer);
+			const isDue = (this.refuseAt.get(call) ?? now + 1) <= now;
+			if (isEligible && isDue && order.hasUsedShare(call)) {
+				found.push(call);
+			}
+
+			newer.add(customer);
+		}
+
+		return found;
 	}
 }
