--- a/src/bin/turmericctl.ts
+++ b/src/bin/turmericctl.ts
@@ -30,8 +30,10 @@
 import {
 	ApplyOutcome,
 	ChangeApplier,
+	formatCustomers,
 	readDeclarationFolder,
 	type ApplyResult,
+	type CustomersReply,
 } from '../operator/index.js';
 import {formatZones, type ZoneList} from '../node/zone-list.js';
 import {createRandom} from '../random/index.js';
@@ -367,6 +369,20 @@
 		}),
 });
 
+const customers = command({
+	name: 'customers',
+	description:
+		'Shows what each customer uses at a node: limit, use, share, age, refusals by reason.',
+	args: {node: nodeArgument, json},
+	handler: async ({node, json: isJson}) =>
+		runAndReport(isJson, async () => {
+			const text = await requestNode(node, 'GET', '/v1/customers');
+			const reply = JSON.parse(text) as CustomersReply; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+			write(isJson, reply, formatCustomers(reply));
+			return ExitCode.Ok;
+		}),
+});
+
 const program = subcommands({
 	name: 'turmericctl',
 	description:
@@ -382,6 +398,7 @@
 		drain,
 		holds,
 		zones,
+		customers,
 		'retire-zone': retireZone,
 	},
 });
--- a/src/ingress/__tests__/unit/ingress.test.ts
+++ b/src/ingress/__tests__/unit/ingress.test.ts
@@ -161,6 +161,7 @@
 			logger: silentLogger,
 			protocol,
 			keyedCalls: undefined,
+			revisions: {isBehind: false, registerListener: () => () => undefined},
 			configuration: () => index,
 			async runCall(call) {
 				const {promise, resolve} = withResolvers<CallEnd>();
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -17,7 +17,7 @@
 	type RequestHead,
 } from '../call/index.js';
 import {second, type Clock, type Millis} from '../clock/index.js';
-import type {DeclarationIndex} from '../declaration/index.js';
+import type {DeclarationIndex, RevisionTracker} from '../declaration/index.js';
 import {
 	AttemptEnd,
 	Cancellation,
@@ -37,7 +37,9 @@
 	type CallParameters,
 	type RefusalNotice,
 } from './caller-protocol.js';
+import {CustomerUsage} from './customer-usage.js';
 import {fingerprint} from './fingerprint.js';
+import {NewestConfiguration} from './newest-configuration.js';
 import {ParseFailureAction} from './parse-failure.js';
 import {hasBody, readRequestBody, RequestBodyError} from './request-body.js';
 import type {PipelineLimits} from './request-pipeline.js';
@@ -49,6 +51,7 @@
 	readonly protocol: CallerProtocol;
 	/** Undefined if idempotency keys are not supported. */
 	readonly keyedCalls: KeyedCalls | undefined;
+	readonly revisions: Pick<RevisionTracker, 'isBehind' | 'registerListener'>;
 	/** @returns the configuration in force; undefined while the node is not ready. */
 	configuration(): DeclarationIndex | undefined;
 	/** Runs a call that has no idempotency key or is idempotent. */
@@ -58,6 +61,8 @@
 /** Limit of a request's head while no configuration names a higher one. */
 const defaultMaxHeaderBytes = 16_384;
 const maxInFlight = 4000;
+/** Calls in flight from which on customers get no more than their shares; the rest is for those that have less. */
+const maxSharedInFlight = 0.75 * maxInFlight;
 const headTimeout: Millis = 10 * second;
 const requestTimeout: Millis = 60 * second;
 const idleTimeout: Millis = 15 * second;
@@ -73,12 +78,17 @@
 
 /** HTTP server that accepts callers' requests and answers them. */
 export class Ingress {
+	/** What each customer uses here. */
+	readonly customers: CustomerUsage;
 	private readonly server: Server;
 	private readonly calls = new Set<ServerResponse>();
 	private readonly connections = new WeakMap<Duplex, CallerConnection>();
+	private readonly newest: NewestConfiguration;
 	private isDraining = false;
 
 	constructor(private readonly deps: IngressDependencies) {
+		this.customers = new CustomerUsage(deps.clock, deps.metrics, maxSharedInFlight);
+		this.newest = new NewestConfiguration(deps.clock, deps.revisions, () => deps.configuration());
 		this.server = createServer(
 			{
 				maxHeaderSize: defaultMaxHeaderBytes,
@@ -161,6 +171,7 @@
 			outcome = await this.answerError(err, turn);
 		} finally {
 			this.calls.delete(res);
+			this.customers.leave(res, outcome);
 			const {metrics, clock} = this.deps;
 			metrics.inFlight.set(this.calls.size);
 			metrics.calls.inc({outcome});
@@ -196,7 +207,7 @@
 			throw new RefusedRequestError(RefusalReason.TooManyCalls);
 		}
 
-		const index = this.requireConfiguration();
+		this.requireConfiguration();
 		const {keyedCalls} = this.deps;
 		if (keyedCalls && req.url === issuePath && req.method === 'POST') {
 			return this.issueKey(req, turn, keyedCalls);
@@ -204,7 +215,7 @@
 
 		normalizeTarget(req);
 		checkHead(req);
-		const call = await this.createCall(req, turn, index);
+		const call = await this.createCall(req, turn);
 		const end = await this.run(call);
 		return this.sendEnd(turn, call, end);
 	}
@@ -249,21 +260,27 @@
 	private async createCall(
 		req: IncomingMessage,
 		turn: CallerTurn,
-		index: DeclarationIndex,
 		startedAt = this.deps.clock.now(),
 	): Promise<Call> {
-		const parameters = this.deps.protocol.readParameters(req, index);
-		this.checkLength(req, index);
+		const {index, parameters} = await this.newest.read((newest) => {
+			const read = this.deps.protocol.readParameters(req, newest);
+			this.checkLength(req, newest);
+			return {index: newest, parameters: read};
+		});
+		if (req.destroyed) {
+			throw new RequestBodyError('connection closed before the request was read');
+		}
+
 		const deadline = Deadline.in(startedAt, parameters.timeout);
 		if (!turn.tryForward(parameters.isIdempotent && !hasBody(req))) {
 			await this.waitToForward(turn, deadline);
-			const newest = this.requireConfiguration();
-			if (newest !== index) {
+			if (this.requireConfiguration() !== index) {
 				// Routes and keys may have changed while earlier requests were answered.
-				return this.createCall(req, turn, newest, startedAt);
+				return this.createCall(req, turn, startedAt);
 			}
 		}
 
+		this.customers.enter(turn.res, parameters, this.calls.size);
 		if (req.headers.expect !== undefined && hasBody(req)) {
 			turn.res.writeContinue();
 		}
@@ -428,6 +445,7 @@
 		const {reason} = notice;
 		const refusal = refusals[reason];
 		this.deps.metrics.refusals.inc({reason});
+		this.customers.recordRefused(turn.res, reason);
 		const text = `${JSON.stringify({outcome: refusal.outcome, reason, attempts: end?.attempts})}\n`;
 		// The rest of a refused request is not read.
 		if (turn.tryAnswer(true) || (await turn.waitToAnswer(text.length, true))) {
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -55,7 +55,8 @@
 }
 
 function packOrigin(origin: RequestOrigin): readonly unknown[] {
-	return [origin.requestId, origin.caller, origin.route, origin.priority];
+	const fields = [origin.requestId, origin.caller, origin.route, origin.priority];
+	return origin.isNested ? [...fields, true] : fields;
 }
 
 // Fields that earlier builds do not know end a frame; those that are undefined take no bytes there.
@@ -213,6 +214,10 @@
 		return value;
 	}
 
+	optionalFlag(): boolean | undefined {
+		return this.optional(() => this.flag());
+	}
+
 	bytes(): Uint8Array {
 		const value = this.take();
 		if (!(value instanceof Uint8Array)) {
@@ -226,10 +231,6 @@
 		return this.optional(() => this.bytes());
 	}
 
-	optionalFlag(): boolean {
-		return this.optional(() => this.flag()) ?? false;
-	}
-
 	headers(): HeaderList {
 		const value = this.list();
 		const headers: HeaderList = [];
@@ -285,6 +286,7 @@
 			caller: fields.text(),
 			route: fields.text(),
 			priority: fields.number(),
+			isNested: fields.optionalFlag(),
 		};
 	}
 
@@ -448,7 +450,7 @@
 		content: fields.optionalText(),
 		delta: fields.optionalText(),
 		deflated: fields.optionalBytes(),
-		isDelta: fields.optionalFlag(),
+		isDelta: fields.optionalFlag() ?? false,
 	}),
 	[FrameType.Handover]: (fields) => ({
 		type: FrameType.Handover,
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -10,7 +10,12 @@
 import {createUnknown} from '../exchange/index.js';
 import {RefusalReason} from '../call/index.js';
 import type {BackendProtocol} from '../executor/index.js';
-import {Ingress, type BudgetBursts, type CallerProtocol} from '../ingress/index.js';
+import {
+	Ingress,
+	type CustomerUse,
+	type BudgetBursts,
+	type CallerProtocol,
+} from '../ingress/index.js';
 import {
 	Distance,
 	distanceBetween,
@@ -165,6 +170,7 @@
 			clock,
 			metrics,
 			logger,
+			revisions,
 			protocol: adapters.createCallerProtocol(
 				(id) => executor.isRunningParentOf(id),
 				(id) => this.core.regionsOfParent(id),
@@ -198,6 +204,11 @@
 		return this.feed.isStoreUp;
 	}
 
+	/** @returns what customers use at the ingress. */
+	customerUses(): readonly CustomerUse[] {
+		return this.ingress.customers.report();
+	}
+
 	/** Opens the ports and joins the other nodes. */
 	async start(): Promise<void> {
 		const {address, operatorPort, callerPort, readinessPort, announcementPort} = this.settings;
