Bound the requests that a cold backend server gets in any second

The executor beside a backend server counts the requests that it sends over a sliding window and spreads their starts, so that the most urgent waiting call gets the next one. Until a heartbeat or the health path reports otherwise, a backend server counts as cold.

--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -1,11 +1,12 @@
 import {RefusalReason, type LoadReport} from '../call/index.js';
-import {minute, second, type Clock, type Millis} from '../clock/index.js';
+import {second, type Clock, type Millis} from '../clock/index.js';
 import {Mechanism, noneDisabled, type DisabledMechanisms} from '../experiment/index.js';
 import {invariant} from '../util/index.js';
 import {LateCapacity} from './late-capacity.js';
-import {canMeetObjective, compareUrgency, latestStart, type Urgency} from './queue-order.js';
+import {canMeetObjective, compareUrgency, mustMissObjectives, type Urgency} from './queue-order.js';
 import {RateLimit} from './rate-limit.js';
 import {ServiceTime} from './service-time.js';
+import {reportLimit, type StartLimit} from './start-limit.js';
 
 /** A request for a slot at the backend server. Either `start` or `refuse` is called, once, unless it is withdrawn first. */
 export interface AdmissionRequest extends Urgency {
@@ -35,13 +36,16 @@
 
 /** Duration of a short run relative to the mean: run times vary by about 30 % around it. */
 const shortRunFactor = 0.7;
-/** Upper bound of a reported waiting time; longer than any call waits. */
-const maxReportedWait: Millis = minute;
+/**
+ * Factor of the expected wait for a start under a paced limit. Calls that start just before they become
+ * late miss their objective when they run longer than usual or more urgent calls arrive.
+ */
+const pacedWaitMargin = 2;
 
 type Usage = {running: number; queued: number; share: number};
 
 /**
- * Controls admission to the slots of the backend server. New calls never start beyond the slot limit and the rate limit.
+ * Controls admission to the slots of the backend server. New calls never start beyond the slots and the start limit.
  * Queued calls are dispatched by fair shares between customers and by urgency within a customer. A
  * call that cannot be served in time is refused at once.
  */
@@ -58,7 +62,7 @@
 		private readonly clock: Pick<Clock, 'now'>,
 		private limits: AdmissionLimits,
 		private readonly disabled: DisabledMechanisms = noneDisabled,
-		private readonly rateLimit = new RateLimit(clock),
+		private readonly startLimit: StartLimit = new RateLimit(clock),
 	) {}
 
 	get inFlight(): number {
@@ -82,6 +86,11 @@
 	 * @param request - the call that needs a slot.
 	 */
 	submit(request: AdmissionRequest): void {
+		// A paced limit opens with time, without an event that starts a queued call.
+		if (this.startLimit.isPaced) {
+			this.dispatch(request);
+		}
+
 		const reason = this.refusalFor(request);
 		if (reason !== undefined) {
 			request.refuse(reason);
@@ -155,12 +164,15 @@
 		}
 	}
 
-	/** Starts queued calls while slots are free; also called when the backend server is fast again. */
-	dispatch(): void {
+	/**
+	 * Starts queued calls while slots are free; also called when the backend server is fast again.
+	 * @param newcomer - call that is not queued; calls that go after it are not started.
+	 */
+	dispatch(newcomer?: AdmissionRequest): void {
 		this.sweep();
 		while (this.isOpen) {
 			const request = this.nextRequest();
-			if (!request) {
+			if (!request || (newcomer && this.compare(newcomer, request) < 0)) {
 				return;
 			}
 
@@ -177,23 +189,13 @@
 			slots: this.limits.slots,
 			serviceTime: this.currentServiceTime(),
 			failureShare: this.serviceTime.failureShare,
-			...this.reportRate(),
+			...reportLimit(this.startLimit, this.queue.length),
 		};
 	}
 
-	// Whether another call may start: a slot is free and the rate limit is not used up.
+	// Whether another call may start: a slot is free and the start limit is not used up.
 	private get isOpen(): boolean {
-		return this.running.size < this.limits.slots && this.rateLimit.untilStart() === 0;
-	}
-
-	private reportRate(): Pick<LoadReport, 'rateLimit' | 'untilStart'> {
-		const {rate} = this.rateLimit;
-		if (rate === undefined) {
-			return {};
-		}
-
-		const untilStart = this.rateLimit.untilStart(this.queue.length);
-		return {rateLimit: rate, untilStart: Math.min(untilStart, maxReportedWait)};
+		return this.running.size < this.limits.slots && this.startLimit.untilStart() === 0;
 	}
 
 	// Queued calls that have become late because no slot was free.
@@ -243,16 +245,18 @@
 		}
 
 		if (this.predictedTime(request) > timeLeft) {
-			return RefusalReason.DeadlineTooShort;
+			return this.startLimit.lateRefusal;
 		}
 
 		if (this.willBeLate(request)) {
-			if (isFull && canMeetObjective(request, this.clock.now())) {
+			const isMiss = isFull && canMeetObjective(request, this.clock.now());
+			if (isMiss) {
 				this.lateCapacity.recordMiss(this.clock.now());
 			}
 
-			if (!this.isServableLate(request, this.countLateBefore(request))) {
-				return RefusalReason.DeadlineTooShort;
+			const isServable = this.isServableLate(request, this.countLateBefore(request));
+			if (!isServable || (isMiss && this.startLimit.isPaced)) {
+				return this.startLimit.lateRefusal;
 			}
 		}
 
@@ -261,11 +265,12 @@
 
 	private get fullReason(): RefusalReason {
 		const hasSlot = this.running.size < this.limits.slots;
-		return hasSlot ? RefusalReason.RateLimited : RefusalReason.Busy;
+		return hasSlot ? this.startLimit.refusal : RefusalReason.Busy;
 	}
 
 	private willBeLate(request: AdmissionRequest): boolean {
-		const wait = this.predictedTime(request) - this.currentServiceTime();
+		const margin = this.startLimit.isPaced ? pacedWaitMargin : 1;
+		const wait = (this.predictedTime(request) - this.currentServiceTime()) * margin;
 		return !canMeetObjective(request, this.clock.now() + wait);
 	}
 
@@ -346,13 +351,13 @@
 		const serviceTime = this.serviceTime.isKnown ? current : Math.max(current, request.work);
 		const delay = request.startDelay?.() ?? 0;
 		const slotWait = (positions / Math.max(1, this.limits.slots)) * serviceTime;
-		const rateWait = this.rateLimit.untilStart(Math.min(position, fairPosition) - 1);
+		const rateWait = this.startLimit.untilStart(Math.min(position, fairPosition) - 1);
 		return delay + Math.max(slotWait, rateWait) + serviceTime;
 	}
 
 	// Mean time between two starts while calls are queued.
 	private startInterval(): Millis {
-		const {rate} = this.rateLimit;
+		const {rate} = this.startLimit;
 		const slotInterval = this.currentServiceTime() / Math.max(1, this.limits.slots);
 		return rate === undefined ? slotInterval : Math.max(slotInterval, second / rate);
 	}
@@ -392,7 +397,7 @@
 		this.lateCapacity.recordStart(this.isOpenToLate(now) && !isInTimeWaiting);
 		this.running.set(request, now);
 		this.usageOf(request).running += 1;
-		this.rateLimit.recordStart();
+		this.startLimit.recordStart();
 		request.start();
 	}
 
@@ -411,21 +416,11 @@
 			return false;
 		}
 
-		const now = this.clock.now();
-		const starts: Millis[] = [];
-		for (const request of this.queue) {
-			if (canMeetObjective(request, now)) {
-				starts.push(latestStart(request.objective, request));
-			}
-		}
-
-		starts.sort((a, b) => a - b);
-		const startInterval = this.startInterval();
-		return starts.some((latest, index) => now + index * startInterval > latest);
+		return mustMissObjectives(this.queue, this.clock.now(), this.startInterval());
 	}
 
 	private nextRequest(): AdmissionRequest | undefined {
-		const isOverloaded = this.isOverloaded();
+		const isOverloaded = !this.startLimit.isPaced && this.isOverloaded();
 		let next: AdmissionRequest | undefined;
 		for (const request of this.queue) {
 			if (!this.mayStart(request)) {
--- a/src/backend/index.ts
+++ b/src/backend/index.ts
@@ -1,9 +1,13 @@
 export {Admission, type AdmissionLimits, type AdmissionRequest} from './admission.js';
 export {BackendEvent, backendMachine, BackendState} from './backend-lifecycle.js';
 export {BackendSpeed} from './backend-speed.js';
+export {ColdLimit, type ColdAllowance} from './cold-limit.js';
+export {Coldness, ColdState} from './cold-state.js';
 export {RateLimit} from './rate-limit.js';
 export {Saturation} from './saturation.js';
 export {shouldDelayStart, type PacingInput} from './pacing.js';
 export {compareUrgency, type Urgency} from './queue-order.js';
 export {ServiceTime} from './service-time.js';
+export {CombinedStartLimit, type StartLimit} from './start-limit.js';
+export {StartWindow} from './start-window.js';
 export {warmingSlots} from './warm-up.js';
--- a/src/backend/queue-order.ts
+++ b/src/backend/queue-order.ts
@@ -58,3 +58,26 @@
 	const order = isInTimeA && isOverloaded ? -1 : 1;
 	return a.priority - b.priority || order * (latestStart(limitA, a) - latestStart(limitB, b));
 }
+
+/**
+ * @param calls - queued calls.
+ * @param now - monotonic time in ms.
+ * @param startInterval - mean time between two starts, in ms.
+ * @returns whether some of the calls that can meet their objective miss it if the most urgent one always
+ * starts first.
+ */
+export function mustMissObjectives(
+	calls: readonly Urgency[],
+	now: Millis,
+	startInterval: Millis,
+): boolean {
+	const starts: Millis[] = [];
+	for (const call of calls) {
+		if (canMeetObjective(call, now)) {
+			starts.push(latestStart(call.objective, call));
+		}
+	}
+
+	starts.sort((a, b) => a - b);
+	return starts.some((latest, index) => now + index * startInterval > latest);
+}
--- a/src/backend/rate-limit.ts
+++ b/src/backend/rate-limit.ts
@@ -1,5 +1,7 @@
 import {TokenBucket} from '../budget/index.js';
+import {RefusalReason} from '../call/index.js';
 import {second, type Clock, type Millis} from '../clock/index.js';
+import type {StartLimit} from './start-limit.js';
 
 /** Starts that may be made up for after an idle time, in seconds of the rate; at least one start. */
 const burstSeconds = 0.5;
@@ -12,7 +14,9 @@
  * another order than they were sent, so that only the answer to a call that was sent after the limit
  * was last named can lift it.
  */
-export class RateLimit {
+export class RateLimit implements StartLimit {
+	readonly refusal = RefusalReason.RateLimited;
+	readonly lateRefusal = RefusalReason.DeadlineTooShort;
 	private bucket: TokenBucket | undefined;
 	private namedRate: number | undefined;
 	private namedAt: Millis = Number.NEGATIVE_INFINITY;
@@ -24,6 +28,10 @@
 		return this.namedRate;
 	}
 
+	get isPaced(): boolean {
+		return false;
+	}
+
 	/**
 	 * Records an answer of the backend server.
 	 * @param rate - the limit that the answer names, in calls per second; undefined if it names none.
@@ -42,15 +50,10 @@
 		return this.namedRate !== previous;
 	}
 
-	/** Records the start of a call. */
 	recordStart(): void {
 		this.bucket?.charge(1);
 	}
 
-	/**
-	 * @param ahead - number of calls that start first.
-	 * @returns time until a call may start, in ms; infinite while the backend server takes no calls.
-	 */
 	untilStart(ahead = 0): Millis {
 		const {bucket, namedRate} = this;
 		if (!bucket || namedRate === undefined) {
--- a/src/executor/backend-protocol.ts
+++ b/src/executor/backend-protocol.ts
@@ -36,6 +36,8 @@
 	readonly rateLimit: number | undefined;
 	/** Whether it leaves and takes no further calls. */
 	readonly isLeaving: boolean;
+	/** Time for which it is still cold, in ms; 0 if it is not cold, undefined if it does not say. */
+	readonly coldLeft?: Millis | undefined;
 }
 
 /** Writes and reads the headers exchanged between the node and its backend server. */
@@ -82,12 +84,12 @@
 export const leavingHeader = 'turmeric-leaving';
 
 /**
- * @param text - value of a header with a rate; undefined when the header is missing.
- * @returns the rate; undefined when the header is missing or not a number of at least 0.
+ * @param text - value of a header with a number; undefined when the header is missing.
+ * @returns the number; undefined when the header is missing or not a number of at least 0.
  */
-export function parseRate(text: string | undefined): number | undefined {
-	const rate = text === undefined || text.trim() === '' ? Number.NaN : Number(text);
-	return Number.isFinite(rate) && rate >= 0 ? rate : undefined;
+export function parseNonNegative(text: string | undefined): number | undefined {
+	const value = text === undefined || text.trim() === '' ? Number.NaN : Number(text);
+	return Number.isFinite(value) && value >= 0 ? value : undefined;
 }
 
 /** Turmeric's own protocol between a node and its backend server. */
@@ -111,7 +113,7 @@
 
 	readNotice(headers: HeaderList): BackendNotice {
 		return {
-			rateLimit: parseRate(headerValue(headers, rateLimitHeader)),
+			rateLimit: parseNonNegative(headerValue(headers, rateLimitHeader)),
 			isLeaving: hasHeader(headers, leavingHeader),
 		};
 	}
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -1,11 +1,13 @@
 import {
 	Admission,
 	BackendSpeed,
+	CombinedStartLimit,
 	RateLimit,
 	Saturation,
 	shouldDelayStart,
 	type AdmissionLimits,
 	type AdmissionRequest,
+	type ColdLimit,
 } from '../backend/index.js';
 import {
 	AttemptLedger,
@@ -54,6 +56,8 @@
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 	readonly crashWatch: CrashWatch;
+	/** Bounds the requests to a cold backend server; undefined if the deployment sets no bound. */
+	readonly coldLimit?: ColdLimit | undefined;
 	/** Mechanisms that an experiment switches off. */
 	readonly disabled?: DisabledMechanisms;
 	/** @returns a sender of requests to a backend server. */
@@ -65,6 +69,12 @@
 	 * @param instance - its instance.
 	 */
 	onBackendLeaving(instance: string): void;
+	/**
+	 * Called when the backend server says in an answer how long it is still cold.
+	 * @param left - remaining cold time, in ms; 0 if it is not cold.
+	 * @param sentAt - monotonic time in ms at which the request was sent.
+	 */
+	onColdReport?(left: Millis, sentAt: Millis): void;
 	/** Called when the load has changed enough to be broadcast to other nodes. */
 	onLoadChanged(): void;
 	/**
@@ -132,7 +142,9 @@
 
 	constructor(private readonly deps: ExecutorDependencies) {
 		this.rateLimit = new RateLimit(deps.clock);
-		this.admission = new Admission(deps.clock, this.limits, deps.disabled, this.rateLimit);
+		const {rateLimit} = this;
+		const limit = deps.coldLimit ? new CombinedStartLimit([rateLimit, deps.coldLimit]) : rateLimit;
+		this.admission = new Admission(deps.clock, this.limits, deps.disabled, limit);
 		deps.metrics.rateLimit.set(noRateLimit);
 		deps.clock.repeat(expiryInterval, () => {
 			this.ledger.expire(deps.clock.now());
@@ -275,6 +287,10 @@
 			this.deps.onBackendLeaving(instance);
 		}
 
+		if (notice.coldLeft !== undefined) {
+			this.deps.onColdReport?.(notice.coldLeft, sentAt);
+		}
+
 		const previous = this.rateLimit.rate;
 		if (this.rateLimit.recordAnswer(notice.rateLimit, sentAt)) {
 			this.applyRateLimit(instance, previous);
@@ -415,7 +431,9 @@
 		waited: Millis,
 	): Promise<AttemptResult> {
 		const {target} = this;
+		const {coldLimit} = this.deps;
 		if (!target) {
+			coldLimit?.recordUnsent();
 			this.admission.release(request, false);
 			return createRefused(RefusalReason.NoBackend);
 		}
@@ -425,9 +443,16 @@
 		const isSaturated = this.saturation.isSaturated(this.inFlight.size + 1, this.limits.slots);
 		this.inFlight.set(attempt, {request, startedAt: now, waited, slowdown, isSaturated});
 		this.reportIfFullOrFree();
+		let sentAt: Millis | undefined;
 		const result = await target.sender.send(
 			attempt,
-			{check: () => this.checkBeforeWrite(attempt)},
+			{
+				check: () => {
+					const reason = this.checkBeforeWrite(attempt);
+					sentAt = reason === undefined ? coldLimit?.recordSent() : sentAt;
+					return reason;
+				},
+			},
 			{
 				onLoad: (load) => {
 					this.readSpeed(load.slowdown);
@@ -436,10 +461,20 @@
 					this.readNotice(target.instance, notice, now);
 				},
 				onEnd: (end) => {
+					if (sentAt === undefined) {
+						coldLimit?.recordUnsent();
+					}
+
 					this.end(attempt, end);
 				},
 			},
 		);
+		const isReplaced =
+			result.end === AttemptEnd.Refused && result.reason === RefusalReason.BackendReplaced;
+		if (isReplaced && sentAt !== undefined) {
+			coldLimit?.recordMisdirected(sentAt);
+		}
+
 		return result;
 	}
 
@@ -458,6 +493,11 @@
 			return RefusalReason.Held;
 		}
 
+		// It can have become cold while a connection for the request was opened.
+		if (this.deps.coldLimit && !this.deps.coldLimit.maySend()) {
+			return RefusalReason.BackendCold;
+		}
+
 		if (!this.ledger.markRan(attempt.id)) {
 			return RefusalReason.Fenced;
 		}
--- a/src/executor/index.ts
+++ b/src/executor/index.ts
@@ -3,7 +3,7 @@
 export {Executor, type CrashWatch, type ExecutorDependencies} from './executor.js';
 export {
 	AnswerKind,
-	parseRate,
+	parseNonNegative,
 	TurmericBackendProtocol,
 	type AnswerHead,
 	type BackendLoad,
--- a/src/ingress/__tests__/unit/call-runner.test.ts
+++ b/src/ingress/__tests__/unit/call-runner.test.ts
@@ -118,6 +118,25 @@
 };
 
 describe('CallRunner', () => {
+	it('refuses a call after few attempts when all backend servers are cold, also those that queue calls', async () => {
+		let attempts = 0;
+		const runner = createRunner(20, () => {
+			attempts += 1;
+			if (attempts > 5000) {
+				throw new Error('the attempts of a refused call are not limited');
+			}
+
+			return createRefused(RefusalReason.BackendCold, load);
+		});
+		const calls = 1000;
+		for (let i = 0; i < calls; i++) {
+			const {result} = await runner.run(createCall(true));
+			expect(result).toMatchObject({reason: RefusalReason.BackendCold});
+		}
+
+		expect(attempts).toBeLessThanOrEqual(calls * 3.2);
+	});
+
 	it.each([
 		['close the connection', createUnknown(RefusalReason.BackendLost)],
 		['refuse calls as full', createRefused(RefusalReason.QueueFull, load)],
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -83,6 +83,7 @@
 	RefusalReason.Busy,
 	RefusalReason.BackendSlow,
 	RefusalReason.RateLimited,
+	RefusalReason.BackendCold,
 ]);
 /** After this many refusals by busy executors, a call queues at the executor that it is sent to. */
 const maxBusyRefusals = 2;
@@ -445,7 +446,8 @@
 			return false;
 		}
 
-		if (busyReasons.has(reason)) {
+		// An attempt that may not be refused early is refused with `BackendCold` as well when it would be late.
+		if (busyReasons.has(reason) && progress.busyRefusals < maxBusyRefusals) {
 			progress.busyRefusals += 1;
 			if (progress.busyRefusals >= maxBusyRefusals) {
 				// The next attempt queues where it is sent, so all executors are eligible again.
--- a/src/ini/section-reader.ts
+++ b/src/ini/section-reader.ts
@@ -78,6 +78,16 @@
 		return this.bounded(key, value, rule, `give a number from ${rule.min} to ${rule.max}`);
 	}
 
+	/**
+	 * @param key - name of the key.
+	 * @param rule - bounds.
+	 * @returns a number; undefined if the key is missing or has no value.
+	 */
+	optionalNumber(key: string, rule: Omit<NumberRule, 'fallback'>): number | undefined {
+		const entry = this.entry(key);
+		return entry === undefined || entry.value === '' ? undefined : this.number(key, rule);
+	}
+
 	/**
 	 * @param key - name of the key.
 	 * @param rule - bounds and fallback in ms.
--- a/src/node/__tests__/unit/backend-monitor.test.ts
+++ b/src/node/__tests__/unit/backend-monitor.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {BackendState} from '../../../backend/index.js';
+import {BackendState, Coldness, ColdLimit} from '../../../backend/index.js';
 import {ManualClock, type Millis} from '../../../clock/index.js';
 import {RevisionTracker} from '../../../declaration/index.js';
 import {BackendClient, Executor, TurmericBackendProtocol} from '../../../executor/index.js';
@@ -8,6 +8,7 @@
 import {Metrics, silentLogger} from '../../../telemetry/index.js';
 import {AnnouncedState, type Announcement} from '../../announcement.js';
 import {BackendMonitor} from '../../backend-monitor.js';
+import {ColdMonitor} from '../../cold-monitor.js';
 
 function createFixture(isRestart = false) {
 	const clock = new ManualClock(1000);
@@ -29,16 +30,26 @@
 		onLoadChanged: () => undefined,
 		probeSpeed: async () => undefined,
 	});
+	const coldLimit = new ColdLimit(clock, {overage: 1.5, slack: 8}, isRestart);
+	const cold = new ColdMonitor({
+		clock,
+		logger: silentLogger,
+		metrics: new Metrics(),
+		limit: coldLimit,
+		onLimitChanged: () => undefined,
+		askHealthPath: () => undefined,
+	});
 	const monitor: BackendMonitor = new BackendMonitor({
 		clock,
 		logger: silentLogger,
 		executor,
 		gossip,
+		cold,
 		revisions: new RevisionTracker(),
 		announcementTimeout: 9000,
 		isRestart,
 	});
-	return {clock, gossip, executor, monitor};
+	return {clock, gossip, executor, monitor, coldLimit};
 }
 
 function createAnnouncement(
@@ -183,4 +194,36 @@
 		monitor.handleDeparture({instance: 'i-5', startedAt: 5});
 		expect(gossip.localMember.phase).toBe(MemberPhase.Serving);
 	});
+
+	it('treats the backend server as cold until its heartbeats say that it is not', () => {
+		const {monitor, coldLimit, clock} = createFixture();
+		monitor.handleAnnouncement(createAnnouncement(5, 1, {warmUpLeft: 3000}));
+		expect(coldLimit.coldness).toBe(Coldness.Cold);
+		monitor.handleAnnouncement(createAnnouncement(5, 2, {warmUpLeft: 0}));
+		expect(coldLimit.coldness).toBe(Coldness.Warm);
+		monitor.assumeCold();
+		clock.advance(100);
+		expect(coldLimit.coldness).toBe(Coldness.Unknown);
+		// A heartbeat that arrives late tells nothing of the time after the assumption.
+		monitor.handleAnnouncement(createAnnouncement(5, 1, {warmUpLeft: 0}));
+		expect(coldLimit.coldness).toBe(Coldness.Unknown);
+		monitor.handleAnnouncement(createAnnouncement(5, 3, {warmUpLeft: 0}));
+		expect(coldLimit.coldness).toBe(Coldness.Warm);
+		monitor.handleAnnouncement(createAnnouncement(6, 1, {warmUpLeft: 2000}));
+		expect(coldLimit.coldness).toBe(Coldness.Cold);
+	});
+
+	it('treats a backend server that was found by its health path after a restart as cold until it tells', () => {
+		const {monitor, coldLimit, executor, clock} = createFixture(true);
+		const found = {startedAt: undefined, sequence: undefined, warmUpLeft: undefined};
+		monitor.handleAnnouncement(createAnnouncement(5, 0, found));
+		expect(executor.service).toBe('s');
+		expect(coldLimit.coldness).toBe(Coldness.Unknown);
+		// The rate that the backend server tolerates is not known yet: the allowance alone applies.
+		expect(coldLimit.max).toBe(8);
+		monitor.handleAnnouncement(createAnnouncement(5, 1, {warmUpLeft: 0}));
+		expect(coldLimit.coldness).toBe(Coldness.Warm);
+		clock.advance(400);
+		expect(coldLimit.max).toBeUndefined();
+	});
 });
--- a/src/node/announcement.ts
+++ b/src/node/announcement.ts
@@ -27,8 +27,11 @@
 	readonly startedAt: number | undefined;
 	/** Orders the announcements of one start; undefined if they are not numbered. */
 	readonly sequence: number | undefined;
-	/** Remaining warm-up time, in ms, during which the backend server is slower than usual. */
-	readonly warmUpLeft: Millis;
+	/**
+	 * Remaining warm-up time, in ms, during which the backend server is cold and slower than usual; undefined
+	 * if it is not known.
+	 */
+	readonly warmUpLeft: Millis | undefined;
 }
 
 /** Notice of a backend server that it accepts no more work and sends no further announcements. */
--- a/src/node/backend-finder.ts
+++ b/src/node/backend-finder.ts
@@ -90,7 +90,7 @@
 					healthPath: '',
 					startedAt: undefined,
 					sequence: undefined,
-					warmUpLeft: 0,
+					warmUpLeft: undefined,
 				});
 				executor.readNotice(instance, protocol.readNotice(headers), sentAt);
 			}
--- a/src/node/backend-monitor.ts
+++ b/src/node/backend-monitor.ts
@@ -6,6 +6,7 @@
 import {MemberPhase, type Gossip} from '../membership/index.js';
 import {logEvents, type Logger} from '../telemetry/index.js';
 import {AnnouncedState, type Announcement, type Departure} from './announcement.js';
+import type {ColdMonitor} from './cold-monitor.js';
 
 /** Collaborators of {@link BackendMonitor}. */
 export interface BackendMonitorDependencies {
@@ -14,6 +15,8 @@
 	readonly executor: Executor;
 	readonly gossip: Gossip;
 	readonly revisions: RevisionTracker;
+	/** Collects what is known about the coldness of the backend server, if the deployment bounds it. */
+	readonly cold?: ColdMonitor | undefined;
 	/** Time without an announcement after which the backend server counts as gone, in ms. */
 	readonly announcementTimeout?: Millis;
 	/** Whether this process replaces one that may have processed later announcements. */
@@ -104,6 +107,10 @@
 			this.attach(announcement, isAbsent);
 		}
 
+		if (announcement.warmUpLeft !== undefined) {
+			this.deps.cold?.recordHeartbeat(announcement.warmUpLeft);
+		}
+
 		const isDraining = announcement.state === AnnouncedState.Draining;
 		if (isDraining || isSameStart(this.drained, announcement)) {
 			this.drained = announcement;
@@ -138,6 +145,14 @@
 		}
 	}
 
+	/**
+	 * Treats the backend server as cold until a heartbeat or the health path tells otherwise, since it got
+	 * no requests for an unknown time. Has no effect if the deployment does not bound cold backend servers.
+	 */
+	assumeCold(): void {
+		this.deps.cold?.assume();
+	}
+
 	/** Factor by which a call takes longer because the backend server has just started. */
 	private get warmUpSlowdown(): number {
 		const left = this.announcement?.warmUpLeft ?? 0;
@@ -207,6 +222,7 @@
 		}
 
 		executor.attach({endpoint: {address, port}, instance, connections}, service);
+		this.deps.cold?.attach(instance, this.coldRateOf(service), announcement.warmUpLeft);
 		const type = isAbsent ? BackendEvent.Announced : BackendEvent.Restarted;
 		this.lifecycle.send({type});
 		logger.log(logEvents.backendAnnounced, {service, instance});
@@ -253,6 +269,7 @@
 		const connections = announcement.connections ?? policy?.connections ?? announcement.slots;
 		const slots = Math.min(announcement.slots, connections);
 		const isWarm = age >= warmUp;
+		this.deps.cold?.setRate(this.coldRateOf(announcement.service));
 		this.deps.executor.setWarmUp(this.warmUpSlowdown);
 		this.deps.executor.setLimits(
 			isWarm ? slots : warmingSlots(slots, age, warmUp),
@@ -263,6 +280,12 @@
 		}
 	}
 
+	// Without a configuration, the tolerated rate is not known: the allowance of the deployment alone applies.
+	private coldRateOf(service: string): number | undefined {
+		const {inForce} = this.deps.revisions;
+		return inForce ? inForce.service(service)?.coldRate : 0;
+	}
+
 	private declare(phase: MemberPhase): void {
 		const service = this.announcement?.service ?? '';
 		const slots = this.announcement?.slots ?? 0;
--- a/src/settings/__tests__/unit/node-settings.test.ts
+++ b/src/settings/__tests__/unit/node-settings.test.ts
@@ -28,4 +28,22 @@
 		expect(parse).toThrow(FindingsError);
 		expect(parse).toThrow(/node\.ini:8.*"constructor" is not known/v);
 	});
+
+	it('bounds cold backend servers only if both values of the section are given', () => {
+		const read = (section: string) => parseNodeSettings('node.ini', `${required}${section}`).cold;
+		expect(read('')).toBeUndefined();
+		expect(read('[cold]\noverage = \nslack = \n')).toBeUndefined();
+		expect(read('[cold]\noverage = 1.5\nslack =\n')).toBeUndefined();
+		expect(read('[cold]\n')).toBeUndefined();
+		expect(read('[cold]\noverage = 1.5\nslack = 8\n')).toEqual({overage: 1.5, slack: 8});
+		expect(() => read('[cold]\noverage = much\nslack = 8\n')).toThrow(/out of bounds/v);
+	});
+
+	it('accepts a bandwidth of the link without a value', () => {
+		const read = (line: string) =>
+			parseNodeSettings('node.ini', required.replace('zone = z', `zone = z\n${line}`)).linkRate;
+		expect(read('')).toBeUndefined();
+		expect(read('link-mbps =')).toBeUndefined();
+		expect(read('link-mbps = 7.5')).toBe(7.5);
+	});
 });
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -35,6 +35,14 @@
 	readonly slack: number;
 }
 
+/** Requests that a cold backend server may get beyond the rate that the declaration says it tolerates. */
+export interface ColdSettings {
+	/** Factor of the rate. */
+	readonly overage: number;
+	/** Requests per second in addition. */
+	readonly slack: number;
+}
+
 /** Settings of a node, read from its settings file. */
 export interface NodeSettings {
 	/** IP address on which the node listens. */
@@ -52,6 +60,10 @@
 	readonly backend: BackendSettings;
 	readonly ways: TransferCostSettings;
 	readonly budgets: BudgetSettings;
+	/** Undefined if cold backend servers are not bounded. */
+	readonly cold: ColdSettings | undefined;
+	/** Bandwidth of the link of the VM, in Mbit/s; undefined if unknown. */
+	readonly linkRate: number | undefined;
 	readonly region: string;
 	readonly zone: string;
 	readonly seeds: readonly Endpoint[];
@@ -76,6 +88,7 @@
 	'backend',
 	'ways',
 	'budgets',
+	'cold',
 	'experiment',
 ]);
 const maxPort = 65_535;
@@ -134,6 +147,13 @@
 	};
 }
 
+// A deployment without the bound renders its keys without values.
+function readCold(reader: SectionReader): ColdSettings | undefined {
+	const overage = reader.optionalNumber('overage', {min: 0, max: 1000});
+	const slack = reader.optionalNumber('slack', {min: 0, max: 1_000_000});
+	return overage === undefined || slack === undefined ? undefined : {overage, slack};
+}
+
 function readDisabled(reader: SectionReader): DisabledMechanisms {
 	const mechanisms = new Map<string, Mechanism>(
 		Object.values(Mechanism).map((value) => [value, value]),
@@ -175,6 +195,7 @@
 	const backend = new SectionReader(document, 'backend', findings);
 	const ways = new SectionReader(document, 'ways', findings);
 	const budgets = new SectionReader(document, 'budgets', findings);
+	const cold = new SectionReader(document, 'cold', findings);
 	const experiment = new SectionReader(document, 'experiment', findings);
 	const port = (key: string, fallback: number) =>
 		node.integer(key, {min: 1, max: maxPort, fallback});
@@ -195,6 +216,8 @@
 		backend: readBackend(backend),
 		ways: readTransferCosts(ways),
 		budgets: readBudgets(budgets),
+		cold: readCold(cold),
+		linkRate: node.optionalNumber('link-mbps', {min: 0.1, max: 1_000_000}),
 		region: node.text('region'),
 		zone: node.text('zone'),
 		stopTimeout: node.duration('stop-timeout', {
@@ -211,7 +234,7 @@
 		logForm: log.choice('form', Object.values(LogFormat), LogFormat.Json),
 		logLevel: log.choice('level', Object.values(LogLevel), LogLevel.Info),
 	};
-	for (const reader of [node, peers, store, log, backend, ways, budgets, experiment]) {
+	for (const reader of [node, peers, store, log, backend, ways, budgets, cold, experiment]) {
 		reader.reportUnknownKeys();
 	}
 
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -85,6 +85,19 @@
 		info,
 		'The backend server says in an answer that it leaves.',
 	),
+	backendCold: event(
+		214,
+		'backend-cold',
+		info,
+		'The backend server is cold and gets no more requests than it tolerates.',
+	),
+	backendAssumedCold: event(
+		215,
+		'backend-assumed-cold',
+		info,
+		'The backend server counts as cold until a heartbeat or its health path tells otherwise.',
+	),
+	backendWarm: event(216, 'backend-warm', info, 'The backend server is no longer cold.'),
 	callEnded: event(800, 'call-ended', info, 'A call has ended at its ingress.'),
 	callRetried: event(801, 'call-retried', info, 'A call gets a further attempt.'),
 	callHedged: event(
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -111,6 +111,12 @@
 		registers: [this.registry],
 	});
 
+	readonly coldLimit = new Gauge({
+		name: 'turmeric_backend_cold_limit',
+		help: 'Requests that the backend server may get in any second because it is cold; -1 if it is not limited.',
+		registers: [this.registry],
+	});
+
 	readonly inFlight = new Gauge({
 		name: 'turmeric_calls_in_flight',
 		help: 'Calls that this ingress has not answered yet.',
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -1,5 +1,6 @@
 import {randomInt} from 'node:crypto';
 import {createActor} from 'xstate';
+import {ColdLimit} from '../backend/index.js';
 import type {Clock, Millis, Undo} from '../clock/index.js';
 import {GossipSocket} from '../datagram/index.js';
 import {RevisionTracker, type KnownRevisions} from '../declaration/index.js';
@@ -17,6 +18,7 @@
 	type Rumor,
 } from '../membership/index.js';
 import {BackendMonitor} from '../node/backend-monitor.js';
+import {ColdMonitor} from '../node/cold-monitor.js';
 import {CrashWatcher} from '../node/crash-watcher.js';
 import {LinkBudgets} from '../node/link-budgets.js';
 import {NodeEvent, nodeMachine, NodeState} from '../node/node-lifecycle.js';
@@ -76,6 +78,8 @@
 	readonly runner: CallRunner;
 	private readonly socket: GossipSocket;
 	private readonly budgets: LinkBudgets;
+	private readonly coldLimit: ColdLimit | undefined;
+	private readonly cold: ColdMonitor | undefined;
 	private readonly pauseDetector: PauseDetector;
 	private undoGossipCheck: Undo | undefined;
 
@@ -101,6 +105,8 @@
 			host: this.createGossipHost(),
 		});
 		this.crashWatcher = this.createCrashWatcher();
+		this.coldLimit = settings.cold && new ColdLimit(clock, settings.cold, hooks.isRestart);
+		this.cold = this.createColdMonitor();
 		this.executor = this.createExecutor();
 		this.backend = new BackendMonitor({
 			clock,
@@ -108,6 +114,7 @@
 			revisions,
 			executor: this.executor,
 			gossip: this.gossip,
+			cold: this.cold,
 			announcementTimeout: hooks.announcementTimeout,
 			isRestart: hooks.isRestart,
 		});
@@ -259,6 +266,10 @@
 			disabled: this.settings.disabled,
 			createSender: (target) => new BackendClient(target, this.hooks.backendProtocol, this.clock),
 			crashWatch: this.crashWatcher,
+			coldLimit: this.coldLimit,
+			onColdReport: (left, sentAt) => {
+				this.cold?.recordAnswer(left, sentAt);
+			},
 			onBackendUnreachable: () => {
 				this.backend.markUnreachable();
 			},
@@ -267,11 +278,31 @@
 			},
 			probeSpeed: async () => this.hooks.probeSpeed(),
 			onLoadChanged: () => {
+				this.cold?.checkSpeed(this.executor.report().slowdown);
 				this.hooks.handleLoadChanged();
 			},
 		});
 	}
 
+	private createColdMonitor(): ColdMonitor | undefined {
+		const {clock, logger, metrics, coldLimit} = this;
+		return (
+			coldLimit &&
+			new ColdMonitor({
+				clock,
+				logger,
+				metrics,
+				limit: coldLimit,
+				onLimitChanged: () => {
+					this.hooks.handleLoadChanged();
+				},
+				askHealthPath: () => {
+					void this.hooks.probeSpeed();
+				},
+			})
+		);
+	}
+
 	private createHub(): LinkHub {
 		const {region, secret, address} = this.settings;
 		const avoid = (id: string) => {
