--- a/scaffold/mesh/mesh-backend.ts
+++ b/scaffold/mesh/mesh-backend.ts
@@ -40,6 +40,8 @@
 	isHealthy = true;
 	/** Headers that it adds to all its answers. */
 	notices: Readonly<Record<string, string>> = {};
+	/** Time as of `performance.now()` until which it is cold. */
+	coldUntil = 0;
 	private sequence = 0;
 	private timer: ReturnType<typeof setInterval> | undefined;
 	private readonly sockets = new Set<Socket>();
@@ -63,6 +65,11 @@
 		return `${this.address}:${port}`;
 	}
 
+	/** Time for which it is still cold, in ms. */
+	get coldLeft(): number {
+		return Math.max(0, Math.round(this.coldUntil - performance.now()));
+	}
+
 	async listen(port = 0): Promise<void> {
 		await new Promise<void>((resolve) => {
 			this.server.listen(port, this.address, resolve);
@@ -89,7 +96,7 @@
 			address: this.endpoint,
 			born,
 			info: {service, version: 'v1', zone: 'z', slots: 4},
-			status: {state: this.state, sequence: this.sequence, cold_remaining_ms: 0},
+			status: {state: this.state, sequence: this.sequence, cold_remaining_ms: this.coldLeft},
 			...change,
 		};
 		return this.say(`/v1/instances/${instance}/heartbeat`, JSON.stringify(body));
@@ -123,7 +130,8 @@
 		const {instance} = this.identity;
 		const load = {'x-server-load': '0,0,4,100', 'x-instance-id': instance, ...this.notices};
 		if (req.url === '/health') {
-			res.writeHead(this.isHealthy ? 200 : 503, load).end();
+			const cold = {'x-cold-remaining': String(this.coldLeft)};
+			res.writeHead(this.isHealthy ? 200 : 503, {...load, ...cold}).end();
 			return;
 		}
 
--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -14,6 +14,8 @@
 	readonly zone: string;
 	readonly region: string;
 	readonly service: string;
+	/** Further lines of the settings file, after its last section. */
+	readonly settings?: readonly string[];
 }
 
 /** A node with its backend server. */
@@ -45,8 +47,9 @@
 export interface MeshRoute {
 	readonly host: string;
 	readonly prefix: string;
-	readonly kind: 'safe' | 'unsafe';
+	readonly kind: 'safe' | 'unsafe' | 'upload';
 	readonly service: string;
+	readonly priority?: number;
 	readonly timeout_ms?: number;
 }
 
@@ -88,6 +91,8 @@
 	readonly nodes: MeshNode[] = [];
 	private readonly folder = mkdtempSync(join(tmpdir(), 'mesh-'));
 	private readonly group = new ProcessGroup(this.folder);
+	/** Fields that the configuration gives each service in addition. */
+	serviceFields: Readonly<Record<string, unknown>> = {};
 	private newest = 0;
 
 	constructor(
@@ -150,7 +155,10 @@
 				]),
 			),
 			services: Object.fromEntries(
-				[...services].map((name) => [name, {health_path: '/health', max_connections: 50}]),
+				[...services].map((name) => [
+					name,
+					{health_path: '/health', max_connections: 50, ...this.serviceFields},
+				]),
 			),
 			limits: {
 				max_header_bytes: 16_384,
@@ -294,7 +302,8 @@
 		return join(this.folder, `${node.name}.ini`);
 	}
 
-	private settingsOf({address, region, zone, service, backend}: MeshNode): string {
+	private settingsOf(node: MeshNode): string {
+		const {address, region, zone, service, backend, settings = []} = node;
 		return [
 			'[node]',
 			`address = ${address}`,
@@ -316,6 +325,7 @@
 			'announce-period = 300 ms',
 			'[budgets]',
 			'slack = 50',
+			...settings,
 		].join('\n');
 	}
 }
--- a/src/backend/cold-limit.ts
+++ b/src/backend/cold-limit.ts
@@ -15,9 +15,10 @@
 
 /**
  * Length of the window in which requests are counted. It is longer than the second for which the bound
- * holds, since requests can reach the backend server closer to each other than they were sent.
+ * holds, since requests can reach a busy backend server closer to each other than they were sent: with
+ * 1.1 s, one counted 12 instead of 11 requests on a loaded machine.
  */
-const windowLength: Millis = 1.1 * second;
+const windowLength: Millis = 1.2 * second;
 /**
  * Starts that may follow each other at once after an idle time, in seconds of the rate. Spreading the
  * others over the window lets each of them go to the most valuable call that waits at that time.
--- a/src/node/__tests__/unit/cold-monitor.test.ts
+++ b/src/node/__tests__/unit/cold-monitor.test.ts
@@ -93,6 +93,22 @@
 		expect(events).toEqual([logEvents.backendAssumedCold, logEvents.backendWarm]);
 	});
 
+	it('asks the health path every second while heartbeats do not tell whether the backend server is cold', () => {
+		const {clock, monitor, counts} = createFixture();
+		monitor.attach('i', coldRate, undefined);
+		for (let i = 0; i < 30; i++) {
+			monitor.setRate(coldRate);
+			clock.advance(100);
+		}
+
+		expect(counts.questions).toBe(3);
+		monitor.recordAnswer(0, clock.now());
+		monitor.setRate(coldRate);
+		clock.advance(2 * second);
+		monitor.setRate(coldRate);
+		expect(counts.questions).toBe(3);
+	});
+
 	it('asks the health path when a warm backend server has become as slow as a cold one', () => {
 		const {monitor, counts} = createFixture();
 		monitor.attach('i', coldRate, 0);
--- a/src/node/cold-monitor.ts
+++ b/src/node/cold-monitor.ts
@@ -1,5 +1,5 @@
 import {Coldness, type ColdLimit} from '../backend/index.js';
-import type {Clock, Millis, Undo} from '../clock/index.js';
+import {second, type Clock, type Millis, type Undo} from '../clock/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 
 /** What told the node that its backend server is cold or warm. */
@@ -35,6 +35,8 @@
  * reports 2 in its answers, up to a heartbeat period before its next heartbeat.
  */
 const suspiciousSlowdown = 1.5;
+/** Interval at which the health path is asked while nothing is known, as heartbeats can be lost. */
+const askPeriod: Millis = second;
 
 /** Collects what is known about the coldness of the backend server, and tells when its limit changes. */
 export class ColdMonitor {
@@ -42,6 +44,7 @@
 	private reportedMax: number | undefined;
 	private undoEnd: Undo | undefined;
 	private instance = '';
+	private askedAt: Millis = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly deps: ColdMonitorDependencies) {
 		deps.metrics.coldLimit.set(noLimit);
@@ -92,17 +95,24 @@
 		limit.invalidate();
 		this.update(ColdSource.Assumed);
 		if (limit.hasRate) {
-			this.deps.askHealthPath();
+			this.ask();
 		}
 	}
 
 	/**
+	 * Applies the declared rate, and asks the health path again if it is not known whether the backend server
+	 * is cold; called every few hundred ms.
 	 * @param coldRate - requests per second that a cold backend server of the service tolerates; undefined
 	 * for any number.
 	 */
 	setRate(coldRate: number | undefined): void {
 		this.deps.limit.setRate(coldRate);
 		this.update(ColdSource.Configuration);
+		const {limit, clock} = this.deps;
+		const isUnknown = limit.hasRate && limit.coldness === Coldness.Unknown;
+		if (isUnknown && clock.now() - this.askedAt >= askPeriod) {
+			this.ask();
+		}
 	}
 
 	/**
@@ -113,10 +123,15 @@
 		const {limit} = this.deps;
 		const isSuspicious = limit.coldness === Coldness.Warm && slowdown >= suspiciousSlowdown;
 		if (limit.hasRate && isSuspicious) {
-			this.deps.askHealthPath();
+			this.ask();
 		}
 	}
 
+	private ask(): void {
+		this.askedAt = this.deps.clock.now();
+		this.deps.askHealthPath();
+	}
+
 	private update(source: ColdSource): void {
 		const {limit} = this.deps;
 		this.scheduleEnd();
