--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -89,10 +89,10 @@
 	/** TCP port on which each node takes callers. */
 	readonly callerPort = ports.callers;
 	readonly nodes: MeshNode[] = [];
-	private readonly folder = mkdtempSync(join(tmpdir(), 'mesh-'));
-	private readonly group = new ProcessGroup(this.folder);
 	/** Fields that the configuration gives each service in addition. */
 	serviceFields: Readonly<Record<string, unknown>> = {};
+	private readonly folder = mkdtempSync(join(tmpdir(), 'mesh-'));
+	private readonly group = new ProcessGroup(this.folder);
 	private newest = 0;
 
 	constructor(
--- a/src/call/load-report.ts
+++ b/src/call/load-report.ts
@@ -18,4 +18,9 @@
 	readonly rateLimit?: number | undefined;
 	/** Time until another call can start under the rate limit, in ms; undefined if there is no limit. */
 	readonly untilStart?: Millis | undefined;
+	/**
+	 * Bandwidth of the link of the executor's VM, in Mbit/s. Undefined if it is not known, or if no streamed
+	 * body has arrived lately, so that reports stay short.
+	 */
+	readonly linkRate?: number | undefined;
 }
--- a/src/exchange/attempt.ts
+++ b/src/exchange/attempt.ts
@@ -6,6 +6,7 @@
 	RefusalReason,
 	RequestHead,
 } from '../call/index.js';
+import type {Millis} from '../clock/index.js';
 import type {Body} from './body.js';
 import type {Cancellation} from './cancellation.js';
 
@@ -31,6 +32,8 @@
 	/** Whether a busy executor may refuse the attempt instead of queueing it, for a retry elsewhere. */
 	readonly canRetryElsewhere: boolean;
 	readonly body: Body;
+	/** Expected time for the transfer of a streamed body to the executor, in ms; undefined if there is none. */
+	readonly transferTime?: Millis | undefined;
 	readonly cancellation: Cancellation;
 }
 
--- a/src/exchange/body.ts
+++ b/src/exchange/body.ts
@@ -14,6 +14,8 @@
 	readonly trailers: HeaderList;
 	/** Whether the sender marks the end of the body; otherwise it ends when the connection closes. */
 	readonly isDelimited: boolean;
+	/** Declared size of a stream, in bytes; undefined if it is not known. */
+	readonly length?: number | undefined;
 }
 
 /**
@@ -34,12 +36,14 @@
  * @param stream - source of the body.
  * @param trailers - list to which the trailers are added before the stream ends.
  * @param isDelimited - whether the sender marks the end of the body.
+ * @param length - declared size in bytes; undefined if it is not known.
  * @returns a body that can be read once.
  */
 export function createStreamBody(
 	stream: Readable,
 	trailers: HeaderList = [],
 	isDelimited = true,
+	length?: number,
 ): Body {
-	return {bytes: undefined, stream, trailers, isDelimited};
+	return {bytes: undefined, stream, trailers, isDelimited, length};
 }
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -16,7 +16,7 @@
 	type AttemptState,
 	type LoadReport,
 } from '../call/index.js';
-import type {Clock, Millis} from '../clock/index.js';
+import {minute, type Clock, type Millis} from '../clock/index.js';
 import {
 	AttemptEnd,
 	createRefused,
@@ -25,12 +25,13 @@
 	type AttemptRunner,
 } from '../exchange/index.js';
 import {Mechanism, type DisabledMechanisms} from '../experiment/index.js';
-import {CallProfiles, isScalableSpeed, isUsualSpeed} from '../routing/index.js';
+import {CallProfiles, isScalableSpeed, isUsualSpeed, transferTime} from '../routing/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 import {withResolvers} from '../util/index.js';
 import type {BackendCallEnd} from './backend-call.js';
 import type {BackendSender, BackendTarget} from './backend-client.js';
 import type {BackendNotice} from './backend-protocol.js';
+import {headerValue} from './headers.js';
 
 /** Holds back requests that have crashed backend servers. */
 export interface CrashWatch {
@@ -58,6 +59,8 @@
 	readonly crashWatch: CrashWatch;
 	/** Bounds the requests to a cold backend server; undefined if the deployment sets no bound. */
 	readonly coldLimit?: ColdLimit | undefined;
+	/** Bandwidth of the link of this VM, in Mbit/s; undefined if it is not known. */
+	readonly linkRate?: number | undefined;
 	/** Mechanisms that an experiment switches off. */
 	readonly disabled?: DisabledMechanisms;
 	/** @returns a sender of requests to a backend server. */
@@ -115,6 +118,8 @@
  * that can be in time. A higher estimate would hold back every call.
  */
 const maxWorkShare = 0.75;
+/** How long load reports tell the bandwidth of the link after a streamed body has arrived. */
+const linkReportTime: Millis = minute;
 /** Load per slot at or below which a backend server that was reported as full is reported as free. */
 const freeLoadShare = 0.8;
 
@@ -138,6 +143,7 @@
 	private isSweeping = false;
 	private isReportedFull = false;
 	private lastRequestAt = Number.NEGATIVE_INFINITY;
+	private lastStreamAt = Number.NEGATIVE_INFINITY;
 	private warmUpSlowdown = 1;
 
 	constructor(private readonly deps: ExecutorDependencies) {
@@ -229,7 +235,10 @@
 	/** @returns the current load of the backend server. */
 	report(): LoadReport {
 		const slowdown = Math.max(this.speed.slowdown(this.deps.clock.now()), this.warmUpSlowdown);
-		return {...this.admission.report(), slowdown};
+		const {linkRate} = this.deps;
+		const isReporting =
+			linkRate !== undefined && this.deps.clock.now() - this.lastStreamAt < linkReportTime;
+		return {...this.admission.report(), slowdown, ...(isReporting && {linkRate})};
 	}
 
 	/**
@@ -299,6 +308,7 @@
 
 	async run(attempt: Attempt): Promise<AttemptResult> {
 		this.lastRequestAt = this.deps.clock.now();
+		this.lastStreamAt = attempt.body.stream ? this.lastRequestAt : this.lastStreamAt;
 		const result = await this.admit(attempt);
 		if (result.end === AttemptEnd.Refused) {
 			const {reason} = result;
@@ -344,7 +354,7 @@
 		const request: AdmissionRequest = {
 			priority: attempt.head.origin.priority,
 			objective: attempt.objective,
-			work: this.expectedWork(attempt),
+			work: this.expectedWork(attempt) + this.transferTime(attempt),
 			customer: attempt.head.customer,
 			share: attempt.share,
 			deadline: attempt.deadline,
@@ -412,6 +422,17 @@
 		return Math.min(expected, Math.max(1, longest * maxWorkShare));
 	}
 
+	// The link of the ingress is part of the time that the ingress expects.
+	private transferTime({transferTime: expected, head}: Attempt): Millis {
+		if (expected === undefined || expected === 0) {
+			return 0;
+		}
+
+		const bytes = Number(headerValue(head.headers, 'content-length') ?? 0);
+		const own = Number.isFinite(bytes) ? transferTime(bytes, [this.deps.linkRate]) : 0;
+		return Math.max(expected, own);
+	}
+
 	private refusalReason(attempt: Attempt): RefusalReason | undefined {
 		if (this.isDraining) {
 			return RefusalReason.Draining;
@@ -573,7 +594,8 @@
 			return;
 		}
 
-		const ran = this.deps.clock.now() - running.startedAt;
+		const elapsed = this.deps.clock.now() - running.startedAt;
+		const ran = Math.max(1, elapsed - this.transferTime(attempt));
 		const {route} = attempt.head.origin;
 		if (!isUsualSpeed(slowdown)) {
 			const isLearning = this.isCold && !this.deps.disabled?.has(Mechanism.ColdProfile);
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -216,7 +216,7 @@
 			timeLeft: deadline.timeLeft(now),
 			objective: call.objectiveDuration,
 			objectiveLeft: objective.timeLeft(now),
-			requestBytes: body.bytes?.length ?? 0,
+			requestBytes: body.bytes?.length ?? body.length ?? 0,
 			excluded: progress.tried,
 			allowedRegions: head.allowedRegions,
 		};
@@ -334,7 +334,7 @@
 		const undo = call.cancellation.registerListener(() => {
 			cancellation.cancel();
 		});
-		const attempt = this.createAttempt(call, progress, cancellation);
+		const attempt = this.createAttempt(call, executor, progress, cancellation);
 		progress.attempts += 1;
 		progress.executor = executor.id;
 		progress.tried.add(executor.id);
@@ -352,7 +352,12 @@
 		return {cancellation, result: run()};
 	}
 
-	private createAttempt(call: Call, progress: Progress, cancellation: Cancellation): Attempt {
+	private createAttempt(
+		call: Call,
+		executor: Member,
+		progress: Progress,
+		cancellation: Cancellation,
+	): Attempt {
 		this.sequence += 1;
 		const id: AttemptId = {instance: this.deps.instance, sequence: this.sequence};
 		const {head, deadline, objective, body, policy} = call;
@@ -368,6 +373,9 @@
 			objective,
 			canRetryElsewhere,
 			body,
+			transferTime: body.stream
+				? this.deps.placement.transferTime?.(this.query(call, progress), executor)
+				: undefined,
 			cancellation,
 		};
 	}
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -24,6 +24,8 @@
 	[RefusalReason.UnknownKey]: RefusalReason.NoBackend,
 	[RefusalReason.QuotaExceeded]: RefusalReason.CustomerShare,
 };
+/** Position of the bandwidth in a load report, behind fields that may be absent. */
+const linkRateIndex = 8;
 const attemptStates = [
 	AttemptState.Fenced,
 	AttemptState.Admitted,
@@ -37,7 +39,11 @@
 	return Math.round(value * 1000) / 1000;
 }
 
-function packLoad(load: LoadReport | undefined): readonly number[] | undefined {
+function padded(fields: ReadonlyArray<number | undefined>, length: number) {
+	return [...fields, ...Array.from({length: length - fields.length}, () => undefined)];
+}
+
+function packLoad(load: LoadReport | undefined): ReadonlyArray<number | undefined> | undefined {
 	if (!load) {
 		return undefined;
 	}
@@ -45,7 +51,8 @@
 	const {inFlight, queued, slots, serviceTime, failureShare, slowdown, rateLimit} = load;
 	const times = [round(serviceTime), round(failureShare), round(slowdown)];
 	const rates = rateLimit === undefined ? [] : [round(rateLimit), round(load.untilStart ?? 0)];
-	return [inFlight, queued, slots, ...times, ...rates];
+	const fields = [inFlight, queued, slots, ...times, ...rates];
+	return load.linkRate === undefined ? fields : [...padded(fields, linkRateIndex), load.linkRate];
 }
 
 function packRefused({type, stream, reason, load}: RefusedFrame): readonly unknown[] {
@@ -75,7 +82,7 @@
 		}
 
 		case FrameType.Open: {
-			return [
+			const fields = [
 				type,
 				frame.stream,
 				frame.target,
@@ -95,6 +102,7 @@
 				round(frame.objectiveLeft),
 				frame.body,
 			];
+			return frame.transferTime === undefined ? fields : [...fields, round(frame.transferTime)];
 		}
 
 		case FrameType.Credit: {
@@ -260,6 +268,7 @@
 			slowdown: fields.number(),
 			rateLimit: fields.optionalNumber(),
 			untilStart: fields.optionalNumber(),
+			linkRate: fields.optionalNumber(),
 		};
 	}
 
@@ -362,6 +371,7 @@
 		timeLeft: fields.number(),
 		objectiveLeft: fields.number(),
 		body: fields.optionalBytes(),
+		transferTime: fields.optionalNumber(),
 	}),
 	[FrameType.Credit]: (fields) => ({
 		type: FrameType.Credit,
--- a/src/link/frame.ts
+++ b/src/link/frame.ts
@@ -92,6 +92,8 @@
 	readonly objectiveLeft: Millis;
 	/** The complete body; undefined when it is streamed in Data frames. */
 	readonly body: Uint8Array | undefined;
+	/** Expected transfer time of a streamed body, in ms; undefined if it is not known. */
+	readonly transferTime?: Millis | undefined;
 }
 
 /** Grants the receiver of this frame `bytes` more bytes to send on a stream. */
--- a/src/link/incoming-attempt.ts
+++ b/src/link/incoming-attempt.ts
@@ -51,7 +51,7 @@
 	 * @returns the attempt for the runner.
 	 */
 	toAttempt(instance: string, now: Millis, staleness: Millis): Attempt {
-		const {sequence, share, canRetryElsewhere, timeLeft, objectiveLeft} = this.frame;
+		const {sequence, share, canRetryElsewhere, timeLeft, objectiveLeft, transferTime} = this.frame;
 		const {service, customer, method, path, headers, isIdempotent, key, fingerprint, origin} =
 			this.frame;
 		return {
@@ -62,6 +62,7 @@
 			deadline: Deadline.in(now, timeLeft - staleness),
 			objective: Deadline.in(now, objectiveLeft - staleness),
 			body: this.body(),
+			transferTime,
 			cancellation: this.cancellation,
 		};
 	}
--- a/src/link/outgoing-attempt.ts
+++ b/src/link/outgoing-attempt.ts
@@ -70,7 +70,7 @@
 	 * @param objectiveLeft - time until the latency objective is missed, in ms.
 	 */
 	open(target: OpenTarget, timeLeft: number, objectiveLeft: number): void {
-		const {head, id, share, canRetryElsewhere, body} = this.attempt;
+		const {head, id, share, canRetryElsewhere, body, transferTime} = this.attempt;
 		this.link.send({
 			type: FrameType.Open,
 			stream: this.stream,
@@ -90,6 +90,7 @@
 			timeLeft,
 			objectiveLeft,
 			body: body.bytes,
+			transferTime,
 		});
 		this.cleanups.push(
 			this.attempt.cancellation.registerListener(() => {
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -15,3 +15,4 @@
 export {WeightedSplit} from './weighted-split.js';
 export {ExpectedWaitPolicy} from './expected-wait-policy.js';
 export type {RoutingPolicy, RoutingQuery} from './routing-policy.js';
+export {transferTime} from './transfer-time.js';
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -14,6 +14,7 @@
 import {expectedLoss, expectedTime} from './expected-time.js';
 import {ExecutorViews, type ExecutorView} from './executor-view.js';
 import type {AttemptOutcome, Placement, PlacementQuery} from './placement.js';
+import {transferTime} from './transfer-time.js';
 
 /** Costs of transferring bytes between availability zones and regions. */
 export interface TransferCosts {
@@ -32,6 +33,8 @@
 	/** Mechanisms that an experiment switches off. */
 	readonly disabled?: DisabledMechanisms;
 	readonly costs: TransferCosts;
+	/** Bandwidth of the link of this VM, in Mbit/s; undefined if it is not known. */
+	readonly linkRate?: number | undefined;
 	/** @returns the priority of the least urgent requests. */
 	readonly lowestPriority: () => number;
 }
@@ -45,6 +48,8 @@
 /** Size of the headers and framing of a request and its answer. */
 const overheadBytes = 700;
 const kilobyte = 1000;
+/** Size from which the transfer time of a body counts; smaller ones take less than run times vary. */
+const minTransferBytes = 16_000;
 /**
  * Half of the time constant with which the reported load from other ingresses decays, down to half of what
  * was reported; about the run time of a call.
@@ -195,6 +200,16 @@
 		this.meanSlowdown += (load.slowdown - this.meanSlowdown) * 0.01;
 	}
 
+	transferTime({requestBytes}: PlacementQuery, executor: Member): Millis {
+		const isLocal = executor.id === this.deps.self().id;
+		if (isLocal || requestBytes < minTransferBytes) {
+			return 0;
+		}
+
+		const {load} = this.views.of(executor.id);
+		return transferTime(requestBytes, [this.deps.linkRate, load?.linkRate]);
+	}
+
 	avoid(id: string, duration: Millis): void {
 		this.views.of(id).avoidUntil = this.deps.clock.now() + duration;
 	}
@@ -212,7 +227,9 @@
 		const before = this.views.of(executor.id).load?.slowdown ?? 1;
 		const isUsual = isUsualSpeed(before) && isUsualSpeed(load.slowdown);
 		if (isUsual && outcome.answerBytes !== undefined && !outcome.isFailure) {
-			const roundTrip = roundTrips[distanceBetween(this.deps.self(), executor)];
+			const roundTrip =
+				roundTrips[distanceBetween(this.deps.self(), executor)] +
+				this.transferTime(query, executor);
 			const work = Math.max(1, this.deps.clock.now() - outcome.sentAt - roundTrip);
 			this.profiles.add(query.kind, work, outcome.answerBytes);
 		}
@@ -241,7 +258,7 @@
 			slowdown: this.slowdownOf(view, now),
 			load: loadOf(view, now),
 			slots: view.load?.slots ?? (member.slots > 0 ? member.slots : defaultSlots),
-			roundTrip: roundTrips[distance],
+			roundTrip: roundTrips[distance] + this.transferTime(query, member),
 			rateWait: disabled?.has(Mechanism.RateReport) ? 0 : rateWaitOf(view, now),
 		});
 		const {objectiveLeft, timeLeft} = query;
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -16,6 +16,7 @@
 	readonly objective: Millis;
 	/** Time until an answer is late, in ms. */
 	readonly objectiveLeft: Millis;
+	/** Size of the body of the request; 0 if it is not known. */
 	readonly requestBytes: number;
 	/** Members that have been tried already. */
 	readonly excluded: ReadonlySet<string>;
@@ -77,6 +78,12 @@
 	recordSent(query: PlacementQuery, executor: Member): void;
 	/** Records the end of an attempt. */
 	recordEnded(query: PlacementQuery, executor: Member, outcome: AttemptOutcome): void;
+	/**
+	 * @param query - a call.
+	 * @param executor - executor of an attempt.
+	 * @returns expected time for the transfer of the body to the executor, in ms; 0 if it crosses no link.
+	 */
+	transferTime?(query: PlacementQuery, executor: Member): Millis;
 	/**
 	 * Avoids an executor for some time while another is available.
 	 * @param id - the executor.
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -267,6 +267,7 @@
 			createSender: (target) => new BackendClient(target, this.hooks.backendProtocol, this.clock),
 			crashWatch: this.crashWatcher,
 			coldLimit: this.coldLimit,
+			linkRate: this.settings.linkRate,
 			onColdReport: (left, sentAt) => {
 				this.cold?.recordAnswer(left, sentAt);
 			},
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -303,6 +303,7 @@
 			random,
 			disabled: this.settings.disabled,
 			costs: {otherZone, otherRegion},
+			linkRate: this.settings.linkRate,
 			lowestPriority: () => this.lowestPriority,
 		});
 		return this.placement;
