--- a/scaffold/mesh/mesh-backend.ts
+++ b/scaffold/mesh/mesh-backend.ts
@@ -42,6 +42,8 @@
 	notices: Readonly<Record<string, string>> = {};
 	/** Time as of `performance.now()` until which it is cold. */
 	coldUntil = 0;
+	/** Requests whose bodies are arriving. */
+	openBodies = 0;
 	private sequence = 0;
 	private timer: ReturnType<typeof setInterval> | undefined;
 	private readonly sockets = new Set<Socket>();
@@ -142,6 +144,10 @@
 		}
 
 		const seen = await this.note(req, res);
+		if (!seen) {
+			return;
+		}
+
 		if (this.behavior(seen, res)) {
 			return;
 		}
@@ -153,10 +159,19 @@
 		}, this.work);
 	}
 
-	private async note(req: IncomingMessage, res: ServerResponse): Promise<SeenRequest> {
+	/** @returns the request; undefined if its connection closed before its end. */
+	private async note(req: IncomingMessage, res: ServerResponse): Promise<SeenRequest | undefined> {
 		const chunks: Buffer[] = [];
-		for await (const chunk of req) {
-			chunks.push(Buffer.from(chunk as Uint8Array));
+		this.openBodies += 1;
+		req.once('close', () => {
+			this.openBodies -= 1;
+		});
+		try {
+			for await (const chunk of req) {
+				chunks.push(Buffer.from(chunk as Uint8Array));
+			}
+		} catch {
+			return undefined;
 		}
 
 		const seen: SeenRequest = {
--- a/src/declaration/declaration.ts
+++ b/src/declaration/declaration.ts
@@ -71,6 +71,8 @@
 	readonly targets: readonly RouteTarget[];
 	/** Regions that requests and their bodies may be sent to; undefined for any region. */
 	readonly allowedRegions?: readonly string[];
+	/** Whether requests have large bodies, which are forwarded while they arrive. */
+	readonly isUpload?: boolean;
 	/** Whether requests need no key of a customer. */
 	readonly isAnonymous?: boolean;
 }
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -119,17 +119,7 @@
 	async run(call: Call): Promise<CallEnd> {
 		this.budgets.earn(call.policy);
 		this.retryElsewhereBudget.deposit(retryElsewhereShare);
-		const progress: Progress = {
-			attempts: 0,
-			arrivals: 0,
-			connectionLosses: 0,
-			busyRefusals: 0,
-			hedges: 0,
-			executor: undefined,
-			maybeExecuted: undefined,
-			failure: undefined,
-			tried: new Set(),
-		};
+		const progress = createProgress();
 		const undoDeadline = this.deps.clock.after(
 			call.deadline.timeLeft(this.deps.clock.now()),
 			() => {
@@ -162,6 +152,21 @@
 		return this.createCallEnd(call, result, progress);
 	}
 
+	/**
+	 * @param call - a call whose body was not read yet.
+	 * @returns the end of the call if it is refused for want of an executor; undefined otherwise.
+	 */
+	async refuseAhead(call: Call): Promise<CallEnd | undefined> {
+		const progress = createProgress();
+		const executor = this.choose(call, progress) ?? (await this.awaitExecutor(call, progress));
+		if (executor) {
+			return undefined;
+		}
+
+		const reason = this.deps.placement.noExecutorReason(this.query(call, progress));
+		return this.createCallEnd(call, createRefused(reason), progress);
+	}
+
 	/**
 	 * Checks the pending attempts at an executor for hedging after the executor has become slow.
 	 * @param id - id of the executor.
@@ -476,6 +481,20 @@
 	}
 }
 
+function createProgress(): Progress {
+	return {
+		attempts: 0,
+		arrivals: 0,
+		connectionLosses: 0,
+		busyRefusals: 0,
+		hedges: 0,
+		executor: undefined,
+		maybeExecuted: undefined,
+		failure: undefined,
+		tried: new Set(),
+	};
+}
+
 // While the body of an answer streams, the deadline timer and the cancellation listener stay
 // registered, since a body may never end.
 function releaseWithAnswer(result: AttemptResult, undo: Undo): void {
--- a/src/ingress/caller-protocol.ts
+++ b/src/ingress/caller-protocol.ts
@@ -18,6 +18,8 @@
 	readonly objective: Millis;
 	/** Time since the caller's first request, in ms; above 0 if the caller returns after a refusal. */
 	readonly elapsed: Millis;
+	/** Whether the request has a large body, which is forwarded while it arrives. */
+	readonly isUpload?: boolean | undefined;
 	/** Headers forwarded to the backend server. */
 	readonly headers: HeaderList;
 	/** Regions that the request may be sent to; undefined for any. */
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -34,8 +34,12 @@
 	type CallParameters,
 	type RefusalNotice,
 } from './caller-protocol.js';
+import {BodyMemory} from './body-memory.js';
 import {fingerprint} from './fingerprint.js';
-import {readRequestBody, RequestBodyError} from './request-body.js';
+import {canDiscard, discardRest} from './discard.js';
+import {readRequestBody} from './request-body.js';
+import {RequestBodyError} from './request-body-error.js';
+import {UploadBody} from './upload-body.js';
 
 export interface IngressDependencies {
 	readonly clock: Clock;
@@ -48,13 +52,22 @@
 	configuration(): DeclarationIndex | undefined;
 	/** Runs a call that has no idempotency key or is idempotent. */
 	runCall(call: Call): Promise<CallEnd>;
+	/** @returns the end of a call that is refused before its body is needed; undefined if it is not. */
+	refuseAhead?(call: Call): Promise<CallEnd | undefined>;
 }
 
 const maxHeaderBytes = 16_384;
 const maxInFlight = 4000;
 const headTimeout: Millis = 10 * second;
+/** Memory for the bodies of requests that are held at the same time; the smallest nodes have 250 MB. */
+const maxBodyMemory = 32 * 1024 * 1024;
 const requestTimeout: Millis = 60 * second;
 const idleTimeout: Millis = 15 * second;
+/** Refusals after which the rest of the connection cannot be read as requests, or arrives too slowly. */
+const closingReasons: ReadonlySet<RefusalReason> = new Set([
+	RefusalReason.BadRequest,
+	RefusalReason.BodyTooSlow,
+]);
 /** Path that issues an idempotency key owned by this node. */
 const issuePath = '/turmeric/keys';
 
@@ -62,9 +75,15 @@
 export class Ingress {
 	private readonly server: Server;
 	private readonly calls = new Set<ServerResponse>();
+	/** Requests whose callers wait to be told that their bodies are read. */
+	private readonly awaitingContinue = new WeakSet<IncomingMessage>();
+	private readonly bodyMemory: BodyMemory;
 	private isDraining = false;
 
 	constructor(private readonly deps: IngressDependencies) {
+		this.bodyMemory = new BodyMemory(maxBodyMemory, (bytes) => {
+			deps.metrics.bodyMemory.set(bytes);
+		});
 		this.server = createServer(
 			{
 				maxHeaderSize: maxHeaderBytes,
@@ -81,7 +100,7 @@
 			},
 		);
 		this.server.on('checkContinue', (req: IncomingMessage, res: ServerResponse) => {
-			res.writeContinue();
+			this.awaitingContinue.add(req);
 			void this.handle(req, res);
 		});
 		this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Duplex) => {
@@ -134,6 +153,7 @@
 		} finally {
 			this.calls.delete(res);
 			const {metrics, clock} = this.deps;
+			discardRest(req, clock);
 			metrics.inFlight.set(this.calls.size);
 			metrics.calls.inc({outcome});
 			metrics.duration.observe({outcome}, (clock.now() - startedAt) / second);
@@ -157,8 +177,37 @@
 
 		checkHead(req);
 		const call = await this.createCall(req, res, index);
-		const end = await this.run(call);
-		return this.sendEnd(res, call, end);
+		const {stream} = call.body;
+		const upload = stream instanceof UploadBody ? stream : undefined;
+		try {
+			const end = (upload && (await this.receive(upload, call))) ?? (await this.run(call));
+			return await this.sendEnd(res, call, end);
+		} finally {
+			upload?.destroy();
+		}
+	}
+
+	// Until enough of the body has arrived, the call needs no executor.
+	private async receive(upload: UploadBody, call: Call): Promise<CallEnd | undefined> {
+		const end = await this.deps.refuseAhead?.(call);
+		if (end) {
+			return end;
+		}
+
+		const {metrics, logger, clock} = this.deps;
+		upload.once('failed', () => {
+			const {failure: reason = '', receivedBytes: received, isForwarded} = upload;
+			const request = call.head.origin.requestId;
+			metrics.uploadsEnded.inc({reason});
+			logger.log(logEvents.uploadEnded, {request, reason, received, isForwarded});
+			call.cancellation.cancel();
+		});
+		const failure = await upload.receive(call.deadline.timeLeft(clock.now()));
+		if (failure !== undefined) {
+			throw new RefusedRequestError(failure);
+		}
+
+		return undefined;
 	}
 
 	private async run(call: Call): Promise<CallEnd> {
@@ -187,7 +236,7 @@
 		const startedAt = this.deps.clock.now();
 		const parameters = this.deps.protocol.readParameters(req, index);
 		this.checkLength(req, index);
-		const body = await readRequestBody(req);
+		const body = await this.readBody(req, res, parameters, index);
 		const head = createHead(req, parameters, body);
 		const cancellation = new Cancellation();
 		// A call with an idempotency key continues when its caller disconnects, since the caller is expected
@@ -214,6 +263,29 @@
 		};
 	}
 
+	private async readBody(
+		req: IncomingMessage,
+		res: ServerResponse,
+		{isUpload = false}: CallParameters,
+		index: DeclarationIndex,
+	): Promise<Body> {
+		const lease = this.bodyMemory.open();
+		res.once('close', () => {
+			lease.release();
+		});
+		return readRequestBody(req, {
+			clock: this.deps.clock,
+			lease,
+			isUpload,
+			maxBytes: index.declaration.callerLimits?.maxBodyBytes ?? Number.POSITIVE_INFINITY,
+			beginReading: () => {
+				if (this.awaitingContinue.delete(req)) {
+					res.writeContinue();
+				}
+			},
+		});
+	}
+
 	private checkLength(req: IncomingMessage, index: DeclarationIndex): void {
 		const limit = index.declaration.callerLimits?.maxBodyBytes;
 		if (limit !== undefined && Number(req.headers['content-length'] ?? 0) > limit) {
@@ -315,8 +387,10 @@
 		}
 
 		if (err instanceof RefusedRequestError && !res.headersSent) {
-			// The rest of the request is not read, so the connection is closed after the refusal.
-			res.shouldKeepAlive = req.complete && err.reason !== RefusalReason.BadRequest;
+			if (closingReasons.has(err.reason)) {
+				res.shouldKeepAlive = false;
+			}
+
 			const reason = protocol.refineReason(req, err.reason);
 			logger.log(logEvents.requestRefused, {
 				host: req.headers.host,
@@ -354,6 +428,11 @@
 	}
 
 	private writeHead(res: ServerResponse, status: number, headers: HeaderList): void {
+		const {req} = res;
+		if (!req.complete && (this.awaitingContinue.has(req) || !canDiscard(req))) {
+			res.shouldKeepAlive = false;
+		}
+
 		if (this.isDraining) {
 			res.shouldKeepAlive = false;
 		}
--- a/src/ingress/request-body.ts
+++ b/src/ingress/request-body.ts
@@ -1,14 +1,26 @@
 import type {IncomingMessage} from 'node:http';
+import type {Clock} from '../clock/index.js';
 import {
 	createStreamBody,
 	createBufferedBody,
 	maxInlineBodyBytes,
 	type Body,
 } from '../exchange/index.js';
+import type {BodyLease} from './body-memory.js';
+import {RequestBodyError} from './request-body-error.js';
+import {UploadBody} from './upload-body.js';
 
-/** The caller closed the connection before the request was complete. */
-export class RequestBodyError extends Error {
-	override name = 'RequestBodyError';
+/** How the body of a request is read. */
+export interface BodyReading {
+	readonly clock: Clock;
+	/** Memory for the body. */
+	readonly lease: BodyLease;
+	/** Whether the body is held back until the rest of it arrives soon. */
+	readonly isUpload: boolean;
+	/** Largest accepted size, in bytes. */
+	readonly maxBytes: number;
+	/** Called before the first byte is read, to tell a caller that waits for it. */
+	beginReading(): void;
 }
 
 const emptyBody = createBufferedBody(new Uint8Array());
@@ -17,10 +29,12 @@
  * Reads the body of a request. A small body is buffered so that the call can be retried; a large one
  * or one of unknown length is streamed so that memory use stays bounded.
  * @param req - the request.
- * @returns the body.
+ * @param reading - how to read it.
+ * @returns the body; an {@link UploadBody} is not read before its `receive` is called.
  * @throws {@link RequestBodyError} when the connection closes before the end of a buffered body.
+ * @throws {@link RefusedRequestError} when there is no memory for a buffered body.
  */
-export async function readRequestBody(req: IncomingMessage): Promise<Body> {
+export async function readRequestBody(req: IncomingMessage, reading: BodyReading): Promise<Body> {
 	const length = req.headers['content-length'];
 	const hasBody = length !== undefined || req.headers['transfer-encoding'] !== undefined;
 	if (!hasBody || length === '0') {
@@ -28,10 +42,20 @@
 		return emptyBody;
 	}
 
-	if (length === undefined || Number(length) > maxInlineBodyBytes) {
-		return createStreamBody(req, req.rawTrailers);
+	const {lease, isUpload, beginReading} = reading;
+	const size = length === undefined ? undefined : Number(length);
+	if (isUpload) {
+		const stream = new UploadBody(req, {...reading, length: size});
+		return createStreamBody(stream, req.rawTrailers, true, size);
 	}
 
+	if (size === undefined || size > maxInlineBodyBytes) {
+		beginReading();
+		return createStreamBody(req, req.rawTrailers, true, size);
+	}
+
+	lease.grow(size);
+	beginReading();
 	return createBufferedBody(await collect(req, Number(length)));
 }
 
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -97,6 +97,12 @@
 		info,
 		'The backend server counts as cold until a heartbeat or its health path tells otherwise.',
 	),
+	uploadEnded: event(
+		217,
+		'upload-ended',
+		warn,
+		'A body was not read to its end because it arrived too slowly or is too large.',
+	),
 	backendWarm: event(216, 'backend-warm', info, 'The backend server is no longer cold.'),
 	callEnded: event(800, 'call-ended', info, 'A call has ended at its ingress.'),
 	callRetried: event(801, 'call-retried', info, 'A call gets a further attempt.'),
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -111,6 +111,19 @@
 		registers: [this.registry],
 	});
 
+	readonly bodyMemory = new Gauge({
+		name: 'turmeric_body_memory_bytes',
+		help: 'Memory reserved for the bodies of requests at this ingress.',
+		registers: [this.registry],
+	});
+
+	readonly uploadsEnded = new Counter({
+		name: 'turmeric_uploads_ended_total',
+		help: 'Bodies that were not read to their end, by reason.',
+		labelNames: ['reason'],
+		registers: [this.registry],
+	});
+
 	readonly coldLimit = new Gauge({
 		name: 'turmeric_backend_cold_limit',
 		help: 'Requests that the backend server may get in any second because it is cold; -1 if it is not limited.',
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -162,6 +162,7 @@
 			keyedCalls: undefined,
 			configuration: () => (this.core.isAcceptingCalls ? revisions.inForce : undefined),
 			runCall: async (call) => runner.run(call),
+			refuseAhead: async (call) => runner.refuseAhead(call),
 		});
 		revisions.registerListener((index) => {
 			this.applyConfiguration(index);
