--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -270,7 +270,8 @@
 
 	private willBeLate(request: AdmissionRequest): boolean {
 		const margin = this.startLimit.isPaced ? pacedWaitMargin : 1;
-		const wait = (this.predictedTime(request) - this.currentServiceTime()) * margin;
+		const run = this.currentServiceTime() + (request.transferTime ?? 0);
+		const wait = (this.predictedTime(request) - run) * margin;
 		return !canMeetObjective(request, this.clock.now() + wait);
 	}
 
@@ -293,7 +294,8 @@
 
 		const serviceTime = this.currentServiceTime();
 		const wait = ((lateBefore + 1) / this.lateCapacity.share) * this.startInterval();
-		return wait + serviceTime <= request.deadline.timeLeft(this.clock.now());
+		const run = serviceTime + (request.transferTime ?? 0);
+		return wait + run <= request.deadline.timeLeft(this.clock.now());
 	}
 
 	// When the queue is full, a call of another customer that has used up its share is evicted. A customer
@@ -349,10 +351,11 @@
 		const positions = Math.min(position, fairPosition) + excess;
 		const current = this.currentServiceTime();
 		const serviceTime = this.serviceTime.isKnown ? current : Math.max(current, request.work);
+		const run = serviceTime + (request.transferTime ?? 0);
 		const delay = request.startDelay?.() ?? 0;
 		const slotWait = (positions / Math.max(1, this.limits.slots)) * serviceTime;
 		const rateWait = this.startLimit.untilStart(Math.min(position, fairPosition) - 1);
-		return delay + Math.max(slotWait, rateWait) + serviceTime;
+		return delay + Math.max(slotWait, rateWait) + run;
 	}
 
 	// Mean time between two starts while calls are queued.
@@ -377,7 +380,7 @@
 	// Least time in which a queued call could still be answered: its delay and a short run, but at least half
 	// the average service time. A call with less time left is refused early, so that its caller can retry.
 	private minimumTime(request: AdmissionRequest): Millis {
-		const delay = request.startDelay?.() ?? 0;
+		const delay = (request.startDelay?.() ?? 0) + (request.transferTime ?? 0);
 		return Math.max(this.serviceTime.average / 2, delay + request.work * shortRunFactor);
 	}
 
--- a/src/backend/queue-order.ts
+++ b/src/backend/queue-order.ts
@@ -13,6 +13,8 @@
 	readonly deadline: Deadline;
 	/** Expected run time of the call, in ms. */
 	readonly work: Millis;
+	/** Time for which the call only receives its body after its start, in ms; 0 without the field. */
+	readonly transferTime?: Millis | undefined;
 }
 
 /**
@@ -20,8 +22,11 @@
  * @param call - the call.
  * @returns the latest start that meets the limit with most run times, as monotonic time in ms.
  */
-export function latestStart(limit: Deadline, {work}: Pick<Urgency, 'work'>): Millis {
-	return limit.at - work * runTimeMargin;
+export function latestStart(
+	limit: Deadline,
+	{work, transferTime = 0}: Pick<Urgency, 'work' | 'transferTime'>,
+): Millis {
+	return limit.at - work * runTimeMargin - transferTime;
 }
 
 /**
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -354,7 +354,8 @@
 		const request: AdmissionRequest = {
 			priority: attempt.head.origin.priority,
 			objective: attempt.objective,
-			work: this.expectedWork(attempt) + this.transferTime(attempt),
+			work: this.expectedWork(attempt),
+			transferTime: this.transferTime(attempt),
 			customer: attempt.head.customer,
 			share: attempt.share,
 			deadline: attempt.deadline,
--- a/src/ingress/upload-body.ts
+++ b/src/ingress/upload-body.ts
@@ -68,6 +68,11 @@
 		super({highWaterMark: stepBytes / 4});
 		// A body that is not read to its end is reported by the result of its call.
 		this.on('error', () => undefined);
+		this.once('close', () => {
+			this.undoCheck?.();
+			req.off('data', this.handleData);
+			this.chunks.length = 0;
+		});
 	}
 
 	/** Why the body was ended; undefined if it was not. */
@@ -129,14 +134,6 @@
 		}
 	}
 
-	override _destroy(err: Error | null, callback: (err?: Error | null) => void): void {
-		this.undoCheck?.();
-		this.req.off('data', this.handleData);
-		this.chunks.length = 0;
-		this.heldBytes = 0;
-		callback(err);
-	}
-
 	private listen(): void {
 		const {req} = this;
 		req.on('data', this.handleData);
@@ -158,6 +155,10 @@
 	}
 
 	private readonly handleData = (chunk: Uint8Array): void => {
+		if (this.destroyed) {
+			return;
+		}
+
 		this.received += chunk.length;
 		if (this.received > this.deps.maxBytes) {
 			this.fail(RefusalReason.BodyTooLarge);
--- a/src/routing/__tests__/unit/objective-placement.test.ts
+++ b/src/routing/__tests__/unit/objective-placement.test.ts
@@ -16,7 +16,7 @@
 };
 const costs = {otherZone: 0.02, otherRegion: 0.085};
 
-function createFixture() {
+function createFixture(linkRate?: number) {
 	const clock = new ManualClock(1000);
 	const directory = new Directory();
 	const self = createLocalMember('10.0.0.1:7001', 1, {region: 'r1', zone: 'a'});
@@ -40,6 +40,7 @@
 		directory,
 		self: () => self,
 		costs,
+		linkRate,
 		lowestPriority: () => 2,
 	});
 	return {clock, directory, placement, near, zone, region};
@@ -71,6 +72,41 @@
 		expect(placement.choose(createQuery())).toBe(zone);
 	});
 
+	it('counts the transfer of a large body on the slower of the two links', () => {
+		const {placement, near, zone} = createFixture(14);
+		const query = createQuery({requestBytes: 350_000, objective: 2000, objectiveLeft: 2000});
+		expect(placement.transferTime(query, near)).toBe(200);
+		placement.recordLoad('zone', {...usual, linkRate: 140});
+		placement.recordLoad('near', {...usual, linkRate: 7});
+		expect(placement.transferTime(query, zone)).toBe(200);
+		expect(placement.transferTime(query, near)).toBe(400);
+		expect(placement.transferTime(createQuery({requestBytes: 2000}), near)).toBe(0);
+		expect(createFixture().placement.transferTime(query, near)).toBe(0);
+	});
+
+	it('sends a large body past a near executor whose link would make it late', () => {
+		const {placement, near, zone} = createFixture(140);
+		placement.recordLoad('near', {...usual, linkRate: 7});
+		placement.recordLoad('zone', {...usual, linkRate: 140});
+		const query = createQuery({requestBytes: 360_000, objective: 450, objectiveLeft: 450});
+		expect(placement.choose(query)).toBe(zone);
+		expect(placement.choose({...query, requestBytes: 1000})).toBe(near);
+	});
+
+	it('needs no transfer to the backend server of its own VM', () => {
+		const {placement, directory} = createFixture(7);
+		const own = {
+			...createLocalMember('10.0.0.1:7001', 1, {region: 'r1', zone: 'a'}),
+			phase: MemberPhase.Serving,
+			service: 's',
+			slots: 9,
+		};
+		directory.merge(own);
+		const query = createQuery({requestBytes: 360_000});
+		expect(placement.transferTime(query, own)).toBe(0);
+		expect(placement.choose(query)).toBe(own);
+	});
+
 	it('uses another region for an urgent request but not for one of low priority', () => {
 		const {placement, region} = createFixture();
 		for (const id of ['near', 'zone']) {
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -59,6 +59,11 @@
 const speedDecayTime: Millis = 500;
 /** Time constant of a reported failure share; its decay lets a backend server that failed be tried again. */
 const failureDecayTime: Millis = 4000;
+/**
+ * Upper bound of the loss for the transfer of a request's body: a backend server that answers in time is
+ * worth the price of the body if the near ones almost certainly do not.
+ */
+const maxBodyLoss = 0.5;
 /** Loss added to an executor that is to be avoided. */
 const avoidLoss = 5;
 /**
@@ -263,10 +268,11 @@
 		});
 		const {objectiveLeft, timeLeft} = query;
 		const lateness = expectedLoss({expected: time, objectiveLeft, timeLeft});
-		const bytes = overheadBytes + query.requestBytes + profile.answerBytes;
+		const bytes = overheadBytes + profile.answerBytes;
 		const loss =
 			lateness +
 			this.transferLoss(distance, bytes, query.priority) +
+			Math.min(maxBodyLoss, this.transferLoss(distance, query.requestBytes, query.priority)) +
 			(timeLoss * time) / Math.max(1, objectiveLeft) +
 			(disabled?.has(Mechanism.FailureLoss) ? 0 : failureLoss(view, now)) +
 			(now < view.avoidUntil ? avoidLoss : 0);
--- a/tests/uploads.test.ts
+++ b/tests/uploads.test.ts
@@ -27,6 +27,20 @@
 	readonly isContinued: () => boolean;
 }
 
+/** Writes a piece again and again until the connection closes. */
+function writeEndlessly(out: ClientRequest, piece: Uint8Array): void {
+	let isReady = true;
+	while (isReady && !out.destroyed) {
+		isReady = out.write(piece);
+	}
+
+	if (!out.destroyed) {
+		out.once('drain', () => {
+			writeEndlessly(out, piece);
+		});
+	}
+}
+
 describe('an upload', () => {
 	const mesh = new Mesh(24);
 	let near: MeshNode;
@@ -165,18 +179,11 @@
 			start('/upload/endless', {'transfer-encoding': 'chunked'}),
 		);
 		const piece = Buffer.alloc(65_536, 'x');
-		let isRunning = true;
 		for (const {out} of endless) {
-			const write = () => {
-				while (isRunning && !out.destroyed && out.write(piece));
-			};
-
-			out.on('drain', write);
-			write();
+			writeEndlessly(out, piece);
 		}
 
 		const statuses = await Promise.all(endless.map(async ({status}) => status));
-		isRunning = false;
 		for (const {out} of endless) {
 			out.destroy();
 		}
