--- a/src/node/__tests__/unit/cold-monitor.test.ts
+++ b/src/node/__tests__/unit/cold-monitor.test.ts
@@ -134,6 +134,22 @@
 		expect(counts).toEqual({changes: 0, questions: 0});
 	});
 
+	it('lifts the limit of a cold backend server when a warm one replaces it', async () => {
+		const {monitor, events, counts, metric} = createFixture();
+		monitor.attach('i', coldRate, 3 * second);
+		monitor.attach('j', coldRate, 0);
+		expect(await metric()).toBe(-1);
+		expect(counts.changes).toBe(2);
+		monitor.attach('k', coldRate, undefined);
+		monitor.attach('l', coldRate, undefined);
+		expect(events).toEqual([
+			logEvents.backendCold,
+			logEvents.backendWarm,
+			logEvents.backendAssumedCold,
+			logEvents.backendAssumedCold,
+		]);
+	});
+
 	it('follows a change of the declared rate', () => {
 		const {limit, monitor, events, counts} = createFixture();
 		monitor.attach('i', undefined, 3 * second);
--- a/src/node/cold-monitor.ts
+++ b/src/node/cold-monitor.ts
@@ -40,7 +40,8 @@
 
 /** Collects what is known about the coldness of the backend server, and tells when its limit changes. */
 export class ColdMonitor {
-	private reported = Coldness.Unknown;
+	/** What was last logged about the attached backend server; undefined if nothing was. */
+	private reported: Coldness | undefined;
 	private reportedMax: number | undefined;
 	private undoEnd: Undo | undefined;
 	private instance = '';
@@ -59,8 +60,7 @@
 	attach(instance: string, coldRate: number | undefined, left: Millis | undefined): void {
 		const {limit, clock} = this.deps;
 		this.instance = instance;
-		this.reported = Coldness.Unknown;
-		this.reportedMax = undefined;
+		this.reported = undefined;
 		limit.reset();
 		limit.setRate(coldRate);
 		if (left !== undefined) {
