--- a/tests/cold-servers.test.ts
+++ b/tests/cold-servers.test.ts
@@ -79,9 +79,8 @@
 		const since = performance.timeOrigin + from;
 		return mesh
 			.log(node)
-			.filter(({event, timestamp}) => {
-				return event === 'attempt-refused' && Date.parse(String(timestamp)) >= since;
-			})
+			.filter(({event}) => event === 'attempt-refused')
+			.filter(({timestamp}) => Date.parse(String(timestamp)) >= since)
 			.map(({reason}) => reason);
 	}
 
