--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -152,11 +152,12 @@
 		}
 
 		case FrameType.Fetch: {
-			return [type, frame.correlationId, frame.hash];
+			return [type, frame.correlationId, frame.hash, frame.base];
 		}
 
 		case FrameType.FetchResult: {
-			return [type, frame.correlationId, frame.content];
+			const {correlationId, content, delta, deflated, isDelta} = frame;
+			return [type, correlationId, content, delta, deflated, isDelta];
 		}
 
 		case FrameType.Handover: {
@@ -223,6 +224,10 @@
 		return this.optional(() => this.bytes());
 	}
 
+	optionalFlag(): boolean {
+		return this.optional(() => this.flag()) ?? false;
+	}
+
 	headers(): HeaderList {
 		const value = this.list();
 		const headers: HeaderList = [];
@@ -426,11 +431,15 @@
 		type: FrameType.Fetch,
 		correlationId: fields.number(),
 		hash: fields.text(),
+		base: fields.optionalText(),
 	}),
 	[FrameType.FetchResult]: (fields) => ({
 		type: FrameType.FetchResult,
 		correlationId: fields.number(),
 		content: fields.optionalText(),
+		delta: fields.optionalText(),
+		deflated: fields.optionalBytes(),
+		isDelta: fields.optionalFlag(),
 	}),
 	[FrameType.Handover]: (fields) => ({
 		type: FrameType.Handover,
--- a/src/link/peer-session.ts
+++ b/src/link/peer-session.ts
@@ -8,12 +8,28 @@
 	type AttemptRunner,
 } from '../exchange/index.js';
 import {withResolvers} from '../util/index.js';
-import {FrameType, OpenTarget, type Frame, type OpenFrame} from './frame.js';
+import {
+	FrameType,
+	OpenTarget,
+	type FetchFrame,
+	type FetchResultFrame,
+	type Frame,
+	type OpenFrame,
+} from './frame.js';
 import {IncomingAttempt} from './incoming-attempt.js';
 import type {Link} from './link.js';
 import {heartbeatPeriod, maxStreams, requestTimeout, silenceTimeout} from './link-limits.js';
+import {inflateText} from './text-compression.js';
 import {LossKind, OutgoingAttempt, type OutgoingAttemptDelegate} from './outgoing-attempt.js';
 
+/** Content of a configuration revision, in full or as a serialized delta from a content that the receiver holds. */
+export interface ContentReply {
+	readonly content: string | undefined;
+	readonly delta: string | undefined;
+}
+
+const noContent: ContentReply = {content: undefined, delta: undefined};
+
 /** Callbacks of a session into its node. */
 export interface PeerSessionDelegate extends Omit<OutgoingAttemptDelegate, 'streamEnded'> {
 	/** @returns monotonic time in ms. */
@@ -40,9 +56,15 @@
 	queryAndFence(instance: string, sequence: number): AttemptState;
 	/**
 	 * @param hash - hash of a configuration's content.
-	 * @returns the content, if this node has it.
+	 * @param base - hash of a content that the peer holds.
+	 * @returns the content or a delta from the base, if this node has it.
 	 */
-	getContent(hash: string): string | undefined;
+	getContent(hash: string, base: string | undefined): ContentReply;
+	/**
+	 * @param text - a text for a peer.
+	 * @returns the compressed text; undefined when compression is not worth it.
+	 */
+	deflate(text: string): Uint8Array | undefined;
 	/**
 	 * Takes over the key records of a leaving peer.
 	 * @param from - id of the peer.
@@ -146,15 +168,17 @@
 
 	/**
 	 * @param hash - hash of a configuration's content.
-	 * @returns the content; undefined when the peer does not have it or did not reply.
+	 * @param base - hash of a content that this node holds; undefined to get the content in full.
+	 * @returns the content, or a delta from the base; neither when the peer does not have it or did not reply.
 	 */
-	async fetchContent(hash: string): Promise<string | undefined> {
+	async fetchContent(hash: string, base: string | undefined): Promise<ContentReply> {
 		const frame = await this.request(FrameType.FetchResult, (correlationId) => ({
 			type: FrameType.Fetch,
 			correlationId,
 			hash,
+			base: base ?? '',
 		}));
-		return frame?.type === FrameType.FetchResult ? frame.content : undefined;
+		return frame?.type === FrameType.FetchResult ? readContent(frame) : noContent;
 	}
 
 	/**
@@ -238,8 +262,7 @@
 			}
 
 			case FrameType.Fetch: {
-				const content = this.delegate.getContent(frame.hash);
-				this.link.send({type: FrameType.FetchResult, correlationId: frame.correlationId, content});
+				this.sendContent(frame);
 				return true;
 			}
 
@@ -270,6 +293,21 @@
 		}
 	}
 
+	private sendContent({correlationId, hash, base}: FetchFrame): void {
+		const {content, delta} = this.delegate.getContent(hash, base);
+		const text = delta ?? content;
+		const isCompressing = base !== undefined && text !== undefined;
+		const deflated = isCompressing ? this.delegate.deflate(text) : undefined;
+		this.link.send({
+			type: FrameType.FetchResult,
+			correlationId,
+			content: deflated ? undefined : content,
+			delta: deflated ? undefined : delta,
+			deflated,
+			isDelta: delta !== undefined,
+		});
+	}
+
 	private receiveOpen(frame: OpenFrame): boolean {
 		const {stream} = frame;
 		if (this.link.isOwnStream(stream) || this.incoming.has(stream)) {
@@ -340,3 +378,12 @@
 		return promise;
 	}
 }
+
+function readContent({content, delta, deflated, isDelta}: FetchResultFrame): ContentReply {
+	if (!deflated) {
+		return {content, delta};
+	}
+
+	const text = inflateText(deflated);
+	return isDelta ? {content: undefined, delta: text} : {content: text, delta: undefined};
+}
