--- a/src/backend/admission.ts
+++ b/src/backend/admission.ts
@@ -1,13 +1,14 @@
 import {RefusalReason, type LoadReport} from '../call/index.js';
-import {minute, second, type Clock, type Millis} from '../clock/index.js';
+import {second, type Clock, type Millis} from '../clock/index.js';
 import {Mechanism, noneDisabled, type DisabledMechanisms} from '../experiment/index.js';
 import {invariant} from '../util/index.js';
 import {DispatchOrder, type OrderedCall} from './dispatch-order.js';
 import {LateCapacity} from './late-capacity.js';
 import {OvertakenCalls} from './overtaken-calls.js';
-import {canMeetObjective, latestStart} from './queue-order.js';
+import {canMeetObjective, mustMissObjectives} from './queue-order.js';
 import {RateLimit} from './rate-limit.js';
 import {ServiceTime} from './service-time.js';
+import {reportLimit, type StartLimit} from './start-limit.js';
 
 /** A request for a slot at the backend server. Either `start` or `refuse` is called, once, unless it is withdrawn first. */
 export interface AdmissionRequest extends OrderedCall {
@@ -42,11 +43,14 @@
 	RefusalReason.DeadlineTooShort,
 	RefusalReason.QueueFull,
 ]);
-/** Upper bound of a reported waiting time; longer than any call waits. */
-const maxReportedWait: Millis = minute;
+/**
+ * Factor of the expected wait for a start under a paced limit. Calls that start just before they become
+ * late miss their objective when they run longer than usual or more urgent calls arrive.
+ */
+const pacedWaitMargin = 2;
 
 /**
- * Controls admission to the slots of the backend server. New calls never start beyond the slot limit and the rate limit.
+ * Controls admission to the slots of the backend server. New calls never start beyond the slots and the start limit.
  * Queued calls are dispatched in the {@link DispatchOrder}. A call that cannot be served in time is refused at once.
  */
 export class Admission {
@@ -63,7 +67,7 @@
 		private readonly clock: Pick<Clock, 'now'>,
 		private limits: AdmissionLimits,
 		private readonly disabled: DisabledMechanisms = noneDisabled,
-		private readonly rateLimit = new RateLimit(clock),
+		private readonly startLimit: StartLimit = new RateLimit(clock),
 	) {}
 
 	get inFlight(): number {
@@ -87,6 +91,11 @@
 	 * @param request - the call that needs a slot.
 	 */
 	submit(request: AdmissionRequest): void {
+		// A paced limit opens with time, without an event that starts a queued call.
+		if (this.startLimit.isPaced) {
+			this.dispatch(request);
+		}
+
 		const reason = this.refusalFor(request);
 		if (reason !== undefined) {
 			this.refuse(request, reason);
@@ -161,12 +170,15 @@
 		}
 	}
 
-	/** Starts queued calls while slots are free; also called when the backend server is fast again. */
-	dispatch(): void {
+	/**
+	 * Starts queued calls while slots are free; also called when the backend server is fast again.
+	 * @param newcomer - call that is not queued; calls that go after it are not started.
+	 */
+	dispatch(newcomer?: AdmissionRequest): void {
 		this.sweep();
 		while (this.isOpen) {
 			const request = this.nextRequest();
-			if (!request) {
+			if (!request || (newcomer && this.compare(newcomer, request) < 0)) {
 				return;
 			}
 
@@ -183,23 +195,13 @@
 			slots: this.limits.slots,
 			serviceTime: this.currentServiceTime(),
 			failureShare: this.serviceTime.failureShare,
-			...this.reportRate(),
+			...reportLimit(this.startLimit, this.queue.length),
 		};
 	}
 
-	// Whether another call may start: a slot is free and the rate limit is not used up.
+	// Whether another call may start: a slot is free and the start limit is not used up.
 	private get isOpen(): boolean {
-		return this.running.size < this.limits.slots && this.rateLimit.untilStart() === 0;
-	}
-
-	private reportRate(): Pick<LoadReport, 'rateLimit' | 'untilStart'> {
-		const {rate} = this.rateLimit;
-		if (rate === undefined) {
-			return {};
-		}
-
-		const untilStart = this.rateLimit.untilStart(this.queue.length);
-		return {rateLimit: rate, untilStart: Math.min(untilStart, maxReportedWait)};
+		return this.running.size < this.limits.slots && this.startLimit.untilStart() === 0;
 	}
 
 	// Queued calls that have become late because no slot was free.
@@ -259,16 +261,18 @@
 		this.order.recordArrival(request);
 
 		if (this.predictedTime(request) > timeLeft) {
-			return RefusalReason.DeadlineTooShort;
+			return this.startLimit.lateRefusal;
 		}
 
 		if (this.willBeLate(request)) {
-			if (isFull && canMeetObjective(request, this.clock.now())) {
+			const isMiss = isFull && canMeetObjective(request, this.clock.now());
+			if (isMiss) {
 				this.lateCapacity.recordMiss(this.clock.now());
 			}
 
-			if (!this.isServableLate(request, this.countLateBefore(request))) {
-				return RefusalReason.DeadlineTooShort;
+			const isServable = this.isServableLate(request, this.countLateBefore(request));
+			if (!isServable || (isMiss && this.startLimit.isPaced)) {
+				return this.startLimit.lateRefusal;
 			}
 		}
 
@@ -285,11 +289,13 @@
 
 	private get fullReason(): RefusalReason {
 		const hasSlot = this.running.size < this.limits.slots;
-		return hasSlot ? RefusalReason.RateLimited : RefusalReason.Busy;
+		return hasSlot ? this.startLimit.refusal : RefusalReason.Busy;
 	}
 
 	private willBeLate(request: AdmissionRequest): boolean {
-		const wait = this.predictedTime(request) - this.currentServiceTime();
+		const margin = this.startLimit.isPaced ? pacedWaitMargin : 1;
+		const run = this.currentServiceTime() + (request.transferTime ?? 0);
+		const wait = (this.predictedTime(request) - run) * margin;
 		return !canMeetObjective(request, this.clock.now() + wait);
 	}
 
@@ -312,7 +318,8 @@
 
 		const serviceTime = this.currentServiceTime();
 		const wait = ((lateBefore + 1) / this.lateCapacity.share) * this.startInterval();
-		return wait + serviceTime <= request.deadline.timeLeft(this.clock.now());
+		const run = serviceTime + (request.transferTime ?? 0);
+		return wait + run <= request.deadline.timeLeft(this.clock.now());
 	}
 
 	// When the queue is full, the call of another customer that would start last is evicted.
@@ -337,15 +344,16 @@
 		const positions = ahead + 1 + excess;
 		const current = this.currentServiceTime();
 		const serviceTime = this.serviceTime.isKnown ? current : Math.max(current, request.work);
+		const run = serviceTime + (request.transferTime ?? 0);
 		const delay = request.startDelay?.() ?? 0;
 		const slotWait = (positions / Math.max(1, this.limits.slots)) * serviceTime;
-		const rateWait = this.rateLimit.untilStart(ahead);
-		return delay + Math.max(slotWait, rateWait) + serviceTime;
+		const rateWait = this.startLimit.untilStart(ahead);
+		return delay + Math.max(slotWait, rateWait) + run;
 	}
 
 	// Mean time between two starts while calls are queued.
 	private startInterval(): Millis {
-		const {rate} = this.rateLimit;
+		const {rate} = this.startLimit;
 		const slotInterval = this.currentServiceTime() / Math.max(1, this.limits.slots);
 		return rate === undefined ? slotInterval : Math.max(slotInterval, second / rate);
 	}
@@ -365,7 +373,7 @@
 	// Least time in which a queued call could still be answered: its delay and a short run, but at least half
 	// the average service time. A call with less time left is refused early, so that its caller can retry.
 	private minimumTime(request: AdmissionRequest): Millis {
-		const delay = request.startDelay?.() ?? 0;
+		const delay = (request.startDelay?.() ?? 0) + (request.transferTime ?? 0);
 		return Math.max(this.serviceTime.average / 2, delay + request.work * shortRunFactor);
 	}
 
@@ -385,7 +393,7 @@
 		this.lateCapacity.recordStart(this.isOpenToLate(now) && !isInTimeWaiting);
 		this.running.set(request, now);
 		this.order.recordStart(request);
-		this.rateLimit.recordStart();
+		this.startLimit.recordStart();
 		request.start();
 	}
 
@@ -403,21 +411,11 @@
 			return false;
 		}
 
-		const now = this.clock.now();
-		const starts: Millis[] = [];
-		for (const request of this.queue) {
-			if (canMeetObjective(request, now)) {
-				starts.push(latestStart(request.objective, request));
-			}
-		}
-
-		starts.sort((a, b) => a - b);
-		const startInterval = this.startInterval();
-		return starts.some((latest, index) => now + index * startInterval > latest);
+		return mustMissObjectives(this.queue, this.clock.now(), this.startInterval());
 	}
 
 	private nextRequest(): AdmissionRequest | undefined {
-		const isOverloaded = this.isOverloaded();
+		const isOverloaded = !this.startLimit.isPaced && this.isOverloaded();
 		let next: AdmissionRequest | undefined;
 		for (const request of this.queue) {
 			if (!this.mayStart(request)) {
--- a/src/backend/queue-order.ts
+++ b/src/backend/queue-order.ts
@@ -13,6 +13,8 @@
 	readonly deadline: Deadline;
 	/** Expected run time of the call, in ms. */
 	readonly work: Millis;
+	/** Time for which the call only receives its body after its start, in ms; 0 without the field. */
+	readonly transferTime?: Millis | undefined;
 }
 
 /**
@@ -20,8 +22,11 @@
  * @param call - the call.
  * @returns the latest start that meets the limit with most run times, as monotonic time in ms.
  */
-export function latestStart(limit: Deadline, {work}: Pick<Urgency, 'work'>): Millis {
-	return limit.at - work * runTimeMargin;
+export function latestStart(
+	limit: Deadline,
+	{work, transferTime = 0}: Pick<Urgency, 'work' | 'transferTime'>,
+): Millis {
+	return limit.at - work * runTimeMargin - transferTime;
 }
 
 /**
@@ -58,3 +63,26 @@
 	const order = isInTimeA && isOverloaded ? -1 : 1;
 	return a.priority - b.priority || order * (latestStart(limitA, a) - latestStart(limitB, b));
 }
+
+/**
+ * @param calls - queued calls.
+ * @param now - monotonic time in ms.
+ * @param startInterval - mean time between two starts, in ms.
+ * @returns whether some of the calls that can meet their objective miss it if the most urgent one always
+ * starts first.
+ */
+export function mustMissObjectives(
+	calls: readonly Urgency[],
+	now: Millis,
+	startInterval: Millis,
+): boolean {
+	const starts: Millis[] = [];
+	for (const call of calls) {
+		if (canMeetObjective(call, now)) {
+			starts.push(latestStart(call.objective, call));
+		}
+	}
+
+	starts.sort((a, b) => a - b);
+	return starts.some((latest, index) => now + index * startInterval > latest);
+}
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -1,11 +1,13 @@
 import {
 	Admission,
 	BackendSpeed,
+	CombinedStartLimit,
 	RateLimit,
 	Saturation,
 	shouldDelayStart,
 	type AdmissionLimits,
 	type AdmissionRequest,
+	type ColdLimit,
 } from '../backend/index.js';
 import {
 	AttemptLedger,
@@ -15,7 +17,7 @@
 	type LoadReport,
 	type RequestHead,
 } from '../call/index.js';
-import type {Clock, Millis} from '../clock/index.js';
+import {minute, type Clock, type Millis} from '../clock/index.js';
 import {
 	AttemptEnd,
 	createRefused,
@@ -24,12 +26,13 @@
 	type AttemptRunner,
 } from '../exchange/index.js';
 import {Mechanism, type DisabledMechanisms} from '../experiment/index.js';
-import {CallProfiles, isScalableSpeed, isUsualSpeed} from '../routing/index.js';
+import {CallProfiles, isScalableSpeed, isUsualSpeed, transferTime} from '../routing/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 import {withResolvers} from '../util/index.js';
 import type {BackendCallEnd} from './backend-call.js';
 import type {BackendSender, BackendTarget} from './backend-client.js';
 import type {BackendNotice} from './backend-protocol.js';
+import {headerValue} from './headers.js';
 
 /** Holds back requests that have crashed backend servers. */
 export interface CrashWatch {
@@ -55,6 +58,10 @@
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 	readonly crashWatch: CrashWatch;
+	/** Bounds the requests to a cold backend server; undefined if the deployment sets no bound. */
+	readonly coldLimit?: ColdLimit | undefined;
+	/** Bandwidth of the link of this VM, in Mbit/s; undefined if it is not known. */
+	readonly linkRate?: number | undefined;
 	/** Mechanisms that an experiment switches off. */
 	readonly disabled?: DisabledMechanisms;
 	/** @returns a sender of requests to a backend server. */
@@ -71,6 +78,12 @@
 	 * @param instance - its instance.
 	 */
 	onBackendLeaving(instance: string): void;
+	/**
+	 * Called when the backend server says in an answer how long it is still cold.
+	 * @param left - remaining cold time, in ms; 0 if it is not cold.
+	 * @param sentAt - monotonic time in ms at which the request was sent.
+	 */
+	onColdReport?(left: Millis, sentAt: Millis): void;
 	/** Called when the load has changed enough to be broadcast to other nodes. */
 	onLoadChanged(): void;
 	/**
@@ -111,6 +124,8 @@
  * that can be in time. A higher estimate would hold back every call.
  */
 const maxWorkShare = 0.75;
+/** How long load reports tell the bandwidth of the link after a streamed body has arrived. */
+const linkReportTime: Millis = minute;
 /** Load per slot at or below which a backend server that was reported as full is reported as free. */
 const freeLoadShare = 0.8;
 
@@ -134,11 +149,14 @@
 	private isSweeping = false;
 	private isReportedFull = false;
 	private lastRequestAt = Number.NEGATIVE_INFINITY;
+	private lastStreamAt = Number.NEGATIVE_INFINITY;
 	private warmUpSlowdown = 1;
 
 	constructor(private readonly deps: ExecutorDependencies) {
 		this.rateLimit = new RateLimit(deps.clock);
-		this.admission = new Admission(deps.clock, this.limits, deps.disabled, this.rateLimit);
+		const {rateLimit} = this;
+		const limit = deps.coldLimit ? new CombinedStartLimit([rateLimit, deps.coldLimit]) : rateLimit;
+		this.admission = new Admission(deps.clock, this.limits, deps.disabled, limit);
 		deps.metrics.rateLimit.set(noRateLimit);
 		deps.clock.repeat(expiryInterval, () => {
 			this.ledger.expire(deps.clock.now());
@@ -231,7 +249,10 @@
 	/** @returns the current load of the backend server. */
 	report(): LoadReport {
 		const slowdown = Math.max(this.speed.slowdown(this.deps.clock.now()), this.warmUpSlowdown);
-		return {...this.admission.report(), slowdown};
+		const {linkRate} = this.deps;
+		const isReporting =
+			linkRate !== undefined && this.deps.clock.now() - this.lastStreamAt < linkReportTime;
+		return {...this.admission.report(), slowdown, ...(isReporting && {linkRate})};
 	}
 
 	/**
@@ -300,6 +321,10 @@
 			this.deps.onBackendLeaving(instance);
 		}
 
+		if (notice.coldLeft !== undefined) {
+			this.deps.onColdReport?.(notice.coldLeft, sentAt);
+		}
+
 		const previous = this.rateLimit.rate;
 		if (this.rateLimit.recordAnswer(notice.rateLimit, sentAt)) {
 			this.applyRateLimit(instance, previous);
@@ -308,6 +333,7 @@
 
 	async run(attempt: Attempt): Promise<AttemptResult> {
 		this.lastRequestAt = this.deps.clock.now();
+		this.lastStreamAt = attempt.body.stream ? this.lastRequestAt : this.lastStreamAt;
 		const result = await this.admit(attempt);
 		if (result.end === AttemptEnd.Refused) {
 			const {reason} = result;
@@ -354,6 +380,7 @@
 			priority: attempt.head.origin.priority,
 			objective: attempt.objective,
 			work: this.expectedWork(attempt),
+			transferTime: this.transferTime(attempt),
 			customer: attempt.head.customer,
 			isNested: attempt.head.origin.isNested,
 			share: attempt.share,
@@ -422,6 +449,17 @@
 		return Math.min(expected, Math.max(1, longest * maxWorkShare));
 	}
 
+	// The link of the ingress is part of the time that the ingress expects.
+	private transferTime({transferTime: expected, head}: Attempt): Millis {
+		if (expected === undefined || expected === 0) {
+			return 0;
+		}
+
+		const bytes = Number(headerValue(head.headers, 'content-length') ?? 0);
+		const own = Number.isFinite(bytes) ? transferTime(bytes, [this.deps.linkRate]) : 0;
+		return Math.max(expected, own);
+	}
+
 	private refusalReason(attempt: Attempt): RefusalReason | undefined {
 		if (this.isDraining) {
 			return RefusalReason.Draining;
@@ -441,7 +479,9 @@
 		waited: Millis,
 	): Promise<AttemptResult> {
 		const {target} = this;
+		const {coldLimit} = this.deps;
 		if (!target) {
+			coldLimit?.recordUnsent();
 			this.admission.release(request, false);
 			return createRefused(RefusalReason.NoBackend);
 		}
@@ -451,9 +491,16 @@
 		const isSaturated = this.saturation.isSaturated(this.inFlight.size + 1, this.limits.slots);
 		this.inFlight.set(attempt, {request, startedAt: now, waited, slowdown, isSaturated});
 		this.reportIfFullOrFree();
+		let sentAt: Millis | undefined;
 		const result = await target.sender.send(
 			attempt,
-			{check: () => this.checkBeforeWrite(attempt)},
+			{
+				check: () => {
+					const reason = this.checkBeforeWrite(attempt);
+					sentAt = reason === undefined ? coldLimit?.recordSent() : sentAt;
+					return reason;
+				},
+			},
 			{
 				onLoad: (load) => {
 					this.readSpeed(load.slowdown);
@@ -462,10 +509,20 @@
 					this.readNotice(target.instance, notice, now);
 				},
 				onEnd: (end) => {
+					if (sentAt === undefined) {
+						coldLimit?.recordUnsent();
+					}
+
 					this.end(attempt, end);
 				},
 			},
 		);
+		const isReplaced =
+			result.end === AttemptEnd.Refused && result.reason === RefusalReason.BackendReplaced;
+		if (isReplaced && sentAt !== undefined) {
+			coldLimit?.recordMisdirected(sentAt);
+		}
+
 		return result;
 	}
 
@@ -489,6 +546,11 @@
 			return misplaced;
 		}
 
+		// It can have become cold while a connection for the request was opened.
+		if (this.deps.coldLimit && !this.deps.coldLimit.maySend()) {
+			return RefusalReason.BackendCold;
+		}
+
 		if (!this.ledger.markRan(attempt.id)) {
 			return RefusalReason.Fenced;
 		}
@@ -564,7 +626,8 @@
 			return;
 		}
 
-		const ran = this.deps.clock.now() - running.startedAt;
+		const elapsed = this.deps.clock.now() - running.startedAt;
+		const ran = Math.max(1, elapsed - this.transferTime(attempt));
 		const {route} = attempt.head.origin;
 		if (!isUsualSpeed(slowdown)) {
 			const isLearning = this.isCold && !this.deps.disabled?.has(Mechanism.ColdProfile);
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -85,6 +85,7 @@
 	RefusalReason.Busy,
 	RefusalReason.BackendSlow,
 	RefusalReason.RateLimited,
+	RefusalReason.BackendCold,
 ]);
 /** After this many refusals by busy executors, a call queues at the executor that it is sent to. */
 const maxBusyRefusals = 2;
@@ -120,17 +121,7 @@
 	async run(call: Call): Promise<CallEnd> {
 		this.budgets.earn(call);
 		this.retryElsewhereBudget.deposit(retryElsewhereShare);
-		const progress: Progress = {
-			attempts: 0,
-			arrivals: 0,
-			connectionLosses: 0,
-			busyRefusals: 0,
-			hedges: 0,
-			executor: undefined,
-			maybeExecuted: undefined,
-			failure: undefined,
-			tried: new Set(),
-		};
+		const progress = createProgress();
 		const undoDeadline = this.deps.clock.after(
 			call.deadline.timeLeft(this.deps.clock.now()),
 			() => {
@@ -163,6 +154,21 @@
 		return this.createCallEnd(call, result, progress);
 	}
 
+	/**
+	 * @param call - a call whose body was not read yet.
+	 * @returns the end of the call if it is refused for want of an executor; undefined otherwise.
+	 */
+	async refuseAhead(call: Call): Promise<CallEnd | undefined> {
+		const progress = createProgress();
+		const executor = this.choose(call, progress) ?? (await this.awaitExecutor(call, progress));
+		if (executor) {
+			return undefined;
+		}
+
+		const reason = this.deps.placement.noExecutorReason(this.query(call, progress));
+		return this.createCallEnd(call, createRefused(reason), progress);
+	}
+
 	/**
 	 * Checks the pending attempts at an executor for hedging after the executor has become slow.
 	 * @param id - id of the executor.
@@ -217,7 +223,7 @@
 			timeLeft: deadline.timeLeft(now),
 			objective: call.objectiveDuration,
 			objectiveLeft: objective.timeLeft(now),
-			requestBytes: body.bytes?.length ?? 0,
+			requestBytes: body.bytes?.length ?? body.length ?? 0,
 			excluded: progress.tried,
 			allowedRegions: head.allowedRegions,
 		};
@@ -335,7 +341,7 @@
 		const undo = call.cancellation.registerListener(() => {
 			cancellation.cancel();
 		});
-		const attempt = this.createAttempt(call, progress, cancellation);
+		const attempt = this.createAttempt(call, executor, progress, cancellation);
 		progress.attempts += 1;
 		progress.executor = executor.id;
 		progress.tried.add(executor.id);
@@ -353,7 +359,12 @@
 		return {cancellation, result: run()};
 	}
 
-	private createAttempt(call: Call, progress: Progress, cancellation: Cancellation): Attempt {
+	private createAttempt(
+		call: Call,
+		executor: Member,
+		progress: Progress,
+		cancellation: Cancellation,
+	): Attempt {
 		this.sequence += 1;
 		const id: AttemptId = {instance: this.deps.instance, sequence: this.sequence};
 		const {head, deadline, objective, body, policy} = call;
@@ -369,6 +380,9 @@
 			objective,
 			canRetryElsewhere,
 			body,
+			transferTime: body.stream
+				? this.deps.placement.transferTime?.(this.query(call, progress), executor)
+				: undefined,
 			cancellation,
 		};
 	}
@@ -448,7 +462,8 @@
 			return false;
 		}
 
-		if (busyReasons.has(reason)) {
+		// An attempt that may not be refused early is refused with `BackendCold` as well when it would be late.
+		if (busyReasons.has(reason) && progress.busyRefusals < maxBusyRefusals) {
 			progress.busyRefusals += 1;
 			if (progress.busyRefusals >= maxBusyRefusals) {
 				// The next attempt queues where it is sent, so all executors are eligible again.
@@ -469,6 +484,20 @@
 	}
 }
 
+function createProgress(): Progress {
+	return {
+		attempts: 0,
+		arrivals: 0,
+		connectionLosses: 0,
+		busyRefusals: 0,
+		hedges: 0,
+		executor: undefined,
+		maybeExecuted: undefined,
+		failure: undefined,
+		tried: new Set(),
+	};
+}
+
 // While the body of an answer streams, the deadline timer and the cancellation listener stay
 // registered, since a body may never end.
 function releaseWithAnswer(result: AttemptResult, undo: Undo): void {
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -37,12 +37,16 @@
 	type CallParameters,
 	type RefusalNotice,
 } from './caller-protocol.js';
+import {BodyMemory} from './body-memory.js';
 import {CustomerUsage} from './customer-usage.js';
+import {canDiscard, discardRest} from './discard.js';
 import {fingerprint} from './fingerprint.js';
 import {NewestConfiguration} from './newest-configuration.js';
 import {ParseFailureAction} from './parse-failure.js';
-import {hasBody, readRequestBody, RequestBodyError} from './request-body.js';
+import {RequestBodyError} from './request-body-error.js';
+import {hasBody, readRequestBody} from './request-body.js';
 import type {PipelineLimits} from './request-pipeline.js';
+import {UploadBody} from './upload-body.js';
 
 export interface IngressDependencies {
 	readonly clock: Clock;
@@ -56,6 +60,8 @@
 	configuration(): DeclarationIndex | undefined;
 	/** Runs a call that has no idempotency key or is idempotent. */
 	runCall(call: Call): Promise<CallEnd>;
+	/** @returns the end of a call that is refused before its body is needed; undefined if it is not. */
+	refuseAhead?(call: Call): Promise<CallEnd | undefined>;
 }
 
 /** Limit of a request's head while no configuration names a higher one. */
@@ -64,6 +70,8 @@
 /** Calls in flight from which on customers get no more than their shares; the rest is for those that have less. */
 const maxSharedInFlight = 0.75 * maxInFlight;
 const headTimeout: Millis = 10 * second;
+/** Memory for the bodies of requests that are held at the same time; the smallest nodes have 250 MB. */
+const maxBodyMemory = 32 * 1024 * 1024;
 const requestTimeout: Millis = 60 * second;
 const idleTimeout: Millis = 15 * second;
 /** A caller that sends more requests ahead waits for the first answers; see docs/design/caller-connections.md. */
@@ -73,6 +81,11 @@
 	maxHeldBytes: 4 * maxInlineBodyBytes,
 };
 const absoluteTarget = /^https?:\/\/([^\/?#]+)(.*)$/iv;
+/** Refusals after which the rest of the connection cannot be read as requests, or arrives too slowly. */
+const closingReasons: ReadonlySet<RefusalReason> = new Set([
+	RefusalReason.BadRequest,
+	RefusalReason.BodyTooSlow,
+]);
 /** Path that issues an idempotency key owned by this node. */
 const issuePath = '/turmeric/keys';
 
@@ -84,11 +97,17 @@
 	private readonly calls = new Set<ServerResponse>();
 	private readonly connections = new WeakMap<Duplex, CallerConnection>();
 	private readonly newest: NewestConfiguration;
+	/** Requests whose callers wait to be told that their bodies are read. */
+	private readonly awaitingContinue = new WeakSet<IncomingMessage>();
+	private readonly bodyMemory: BodyMemory;
 	private isDraining = false;
 
 	constructor(private readonly deps: IngressDependencies) {
 		this.customers = new CustomerUsage(deps.clock, deps.metrics, maxSharedInFlight);
 		this.newest = new NewestConfiguration(deps.clock, deps.revisions, () => deps.configuration());
+		this.bodyMemory = new BodyMemory(maxBodyMemory, (bytes) => {
+			deps.metrics.bodyMemory.set(bytes);
+		});
 		this.server = createServer(
 			{
 				maxHeaderSize: defaultMaxHeaderBytes,
@@ -106,6 +125,7 @@
 		);
 		// Without this listener, the server would ask for the body of a request that may be refused.
 		this.server.on('checkContinue', (req: IncomingMessage, res: ServerResponse) => {
+			this.awaitingContinue.add(req);
 			void this.handle(req, res);
 		});
 		this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Duplex) => {
@@ -173,6 +193,7 @@
 			this.calls.delete(res);
 			this.customers.leave(res, outcome);
 			const {metrics, clock} = this.deps;
+			discardRest(req, clock);
 			metrics.inFlight.set(this.calls.size);
 			metrics.calls.inc({outcome});
 			metrics.duration.observe({outcome}, (clock.now() - startedAt) / second);
@@ -216,8 +237,14 @@
 		normalizeTarget(req);
 		checkHead(req);
 		const call = await this.createCall(req, turn);
-		const end = await this.run(call);
-		return this.sendEnd(turn, call, end);
+		const {stream} = call.body;
+		const upload = stream instanceof UploadBody ? stream : undefined;
+		try {
+			const end = (upload && (await this.receive(upload, call))) ?? (await this.run(call));
+			return await this.sendEnd(turn, call, end);
+		} finally {
+			upload?.destroy();
+		}
 	}
 
 	private requireConfiguration(): DeclarationIndex {
@@ -229,6 +256,29 @@
 		return index;
 	}
 
+	// Until enough of the body has arrived, the call needs no executor.
+	private async receive(upload: UploadBody, call: Call): Promise<CallEnd | undefined> {
+		const end = await this.deps.refuseAhead?.(call);
+		if (end) {
+			return end;
+		}
+
+		const {metrics, logger, clock} = this.deps;
+		upload.once('failed', () => {
+			const {failure: reason = '', receivedBytes: received, isForwarded} = upload;
+			const request = call.head.origin.requestId;
+			metrics.uploadsEnded.inc({reason});
+			logger.log(logEvents.uploadEnded, {request, reason, received, isForwarded});
+			call.cancellation.cancel();
+		});
+		const failure = await upload.receive(call.deadline.timeLeft(clock.now()));
+		if (failure !== undefined) {
+			throw new RefusedRequestError(failure);
+		}
+
+		return undefined;
+	}
+
 	private async run(call: Call): Promise<CallEnd> {
 		const {key} = call.head;
 		const {keyedCalls} = this.deps;
@@ -248,7 +298,7 @@
 		turn.refuse();
 		const key = keyedCalls.issueKey();
 		const text = `${JSON.stringify({key})}\n`;
-		if (!(await turn.waitToAnswer(text.length, true))) {
+		if (!(await turn.waitToAnswer(text.length, this.mustBeRead(turn.req)))) {
 			return Outcome.NotRun;
 		}
 
@@ -281,11 +331,7 @@
 		}
 
 		this.customers.enter(turn.res, parameters, this.calls.size);
-		if (req.headers.expect !== undefined && hasBody(req)) {
-			turn.res.writeContinue();
-		}
-
-		const body = await readRequestBody(req);
+		const body = await this.readBody(req, turn.res, parameters, index);
 		const head = createHead(req, parameters, body);
 		const cancellation = new Cancellation();
 		// A call with an idempotency key continues when its caller disconnects, since the caller is expected
@@ -325,6 +371,29 @@
 		}
 	}
 
+	private async readBody(
+		req: IncomingMessage,
+		res: ServerResponse,
+		{isUpload = false}: CallParameters,
+		index: DeclarationIndex,
+	): Promise<Body> {
+		const lease = this.bodyMemory.open();
+		res.once('close', () => {
+			lease.release();
+		});
+		return readRequestBody(req, {
+			clock: this.deps.clock,
+			lease,
+			isUpload,
+			maxBytes: index.declaration.callerLimits?.maxBodyBytes ?? Number.POSITIVE_INFINITY,
+			beginReading: () => {
+				if (this.awaitingContinue.delete(req)) {
+					res.writeContinue();
+				}
+			},
+		});
+	}
+
 	private checkLength(req: IncomingMessage, index: DeclarationIndex): void {
 		const limit = index.declaration.callerLimits?.maxBodyBytes;
 		if (limit !== undefined && Number(req.headers['content-length'] ?? 0) > limit) {
@@ -373,10 +442,15 @@
 			turn.closeBehind();
 		}
 
-		if (!turn.tryAnswer(false)) {
+		if (!turn.tryAnswer(this.mustBeRead(turn.req))) {
 			// A stream that fails while it waits is found to be `errored` afterwards.
 			stream?.on('error', () => undefined);
-			if (!(await turn.waitToAnswer(body.bytes?.length ?? maxInlineBodyBytes, false))) {
+			if (
+				!(await turn.waitToAnswer(
+					body.bytes?.length ?? maxInlineBodyBytes,
+					this.mustBeRead(turn.req),
+				))
+			) {
 				stream?.destroy();
 				return Outcome.Unknown;
 			}
@@ -447,8 +521,10 @@
 		this.deps.metrics.refusals.inc({reason});
 		this.customers.recordRefused(turn.res, reason);
 		const text = `${JSON.stringify({outcome: refusal.outcome, reason, attempts: end?.attempts})}\n`;
-		// The rest of a refused request is not read.
-		if (turn.tryAnswer(true) || (await turn.waitToAnswer(text.length, true))) {
+		if (
+			turn.tryAnswer(this.mustBeRead(turn.req)) ||
+			(await turn.waitToAnswer(text.length, this.mustBeRead(turn.req)))
+		) {
 			this.writeHead(turn.res, refusal.status, this.refusalHeaders(notice, text));
 			turn.res.end(text);
 		}
@@ -475,7 +551,7 @@
 		}
 
 		if (err instanceof RefusedRequestError && !res.headersSent) {
-			if (err.reason === RefusalReason.BadRequest) {
+			if (closingReasons.has(err.reason)) {
 				// What follows a malformed head may not be a request.
 				turn.closeBehind();
 			}
@@ -531,6 +607,12 @@
 		);
 	}
 
+	// Whether the connection closes if the request has not been read to its end: the caller may not send the rest, or it
+	// is too large to be discarded.
+	private mustBeRead(req: IncomingMessage): boolean {
+		return this.awaitingContinue.has(req) || !canDiscard(req);
+	}
+
 	private writeHead(res: ServerResponse, status: number, headers: HeaderList): void {
 		res.sendDate = !hasDate(headers);
 		res.writeHead(status, headers);
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -24,6 +24,8 @@
 	[RefusalReason.UnknownKey]: RefusalReason.NoBackend,
 	[RefusalReason.QuotaExceeded]: RefusalReason.CustomerShare,
 };
+/** Position of the bandwidth in a load report, behind fields that may be absent. */
+const linkRateIndex = 8;
 const attemptStates = [
 	AttemptState.Fenced,
 	AttemptState.Admitted,
@@ -37,7 +39,11 @@
 	return Math.round(value * 1000) / 1000;
 }
 
-function packLoad(load: LoadReport | undefined): readonly number[] | undefined {
+function padded(fields: ReadonlyArray<number | undefined>, length: number) {
+	return [...fields, ...Array.from({length: length - fields.length}, () => undefined)];
+}
+
+function packLoad(load: LoadReport | undefined): ReadonlyArray<number | undefined> | undefined {
 	if (!load) {
 		return undefined;
 	}
@@ -45,7 +51,8 @@
 	const {inFlight, queued, slots, serviceTime, failureShare, slowdown, rateLimit} = load;
 	const times = [round(serviceTime), round(failureShare), round(slowdown)];
 	const rates = rateLimit === undefined ? [] : [round(rateLimit), round(load.untilStart ?? 0)];
-	return [inFlight, queued, slots, ...times, ...rates];
+	const fields = [inFlight, queued, slots, ...times, ...rates];
+	return load.linkRate === undefined ? fields : [...padded(fields, linkRateIndex), load.linkRate];
 }
 
 function packRefused({type, stream, reason, load}: RefusedFrame): readonly unknown[] {
@@ -84,7 +91,10 @@
 		round(frame.timeLeft),
 		round(frame.objectiveLeft),
 		frame.body,
-		...withoutTrailingGap([frame.allowedRegions]),
+		...withoutTrailingGap([
+			frame.allowedRegions,
+			frame.transferTime === undefined ? undefined : round(frame.transferTime),
+		]),
 	];
 }
 
@@ -276,6 +286,7 @@
 			slowdown: fields.number(),
 			rateLimit: fields.optionalNumber(),
 			untilStart: fields.optionalNumber(),
+			linkRate: fields.optionalNumber(),
 		};
 	}
 
@@ -388,6 +399,7 @@
 		objectiveLeft: fields.number(),
 		body: fields.optionalBytes(),
 		allowedRegions: fields.optionalTexts(),
+		transferTime: fields.optionalNumber(),
 	}),
 	[FrameType.Credit]: (fields) => ({
 		type: FrameType.Credit,
--- a/src/link/frame.ts
+++ b/src/link/frame.ts
@@ -94,6 +94,8 @@
 	readonly body: Uint8Array | undefined;
 	/** Regions that the call may be sent to; undefined for any, and not encoded then. */
 	readonly allowedRegions?: readonly string[] | undefined;
+	/** Expected transfer time of a streamed body, in ms; undefined if it is not known. */
+	readonly transferTime?: Millis | undefined;
 }
 
 /** Grants the receiver of this frame `bytes` more bytes to send on a stream. */
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -10,6 +10,7 @@
 import {ExecutorViews, type ExecutorView} from './executor-view.js';
 import {isPlaceRefusal, reasonWithoutExecutor} from './placement-reason.js';
 import type {AttemptOutcome, Placement, PlacementQuery} from './placement.js';
+import {transferTime} from './transfer-time.js';
 
 /** Costs of transferring bytes between availability zones and regions. */
 export interface TransferCosts {
@@ -30,6 +31,8 @@
 	readonly costs: TransferCosts;
 	/** Evacuated availability zones; undefined for none. */
 	readonly zones?: ZoneFilter;
+	/** Bandwidth of the link of this VM, in Mbit/s; undefined if it is not known. */
+	readonly linkRate?: number | undefined;
 	/** @returns the priority of the least urgent requests. */
 	readonly lowestPriority: () => number;
 }
@@ -43,6 +46,8 @@
 /** Size of the headers and framing of a request and its answer. */
 const overheadBytes = 700;
 const kilobyte = 1000;
+/** Size from which the transfer time of a body counts; smaller ones take less than run times vary. */
+const minTransferBytes = 16_000;
 /**
  * Half of the time constant with which the reported load from other ingresses decays, down to half of what
  * was reported; about the run time of a call.
@@ -52,6 +57,11 @@
 const speedDecayTime: Millis = 500;
 /** Time constant of a reported failure share; its decay lets a backend server that failed be tried again. */
 const failureDecayTime: Millis = 4000;
+/**
+ * Upper bound of the loss for the transfer of a request's body: a backend server that answers in time is
+ * worth the price of the body if the near ones almost certainly do not.
+ */
+const maxBodyLoss = 0.5;
 /** Loss added to an executor that is to be avoided. */
 const avoidLoss = 5;
 /**
@@ -196,6 +206,16 @@
 		this.meanSlowdown += (load.slowdown - this.meanSlowdown) * 0.01;
 	}
 
+	transferTime({requestBytes}: PlacementQuery, executor: Member): Millis {
+		const isLocal = executor.id === this.deps.self().id;
+		if (isLocal || requestBytes < minTransferBytes) {
+			return 0;
+		}
+
+		const {load} = this.views.of(executor.id);
+		return transferTime(requestBytes, [this.deps.linkRate, load?.linkRate]);
+	}
+
 	avoid(id: string, duration: Millis): void {
 		this.views.of(id).avoidUntil = this.deps.clock.now() + duration;
 	}
@@ -213,7 +233,9 @@
 		const before = this.views.of(executor.id).load?.slowdown ?? 1;
 		const isUsual = isUsualSpeed(before) && isUsualSpeed(load.slowdown);
 		if (isUsual && outcome.answerBytes !== undefined && !outcome.isFailure) {
-			const roundTrip = roundTrips[distanceBetween(this.deps.self(), executor)];
+			const roundTrip =
+				roundTrips[distanceBetween(this.deps.self(), executor)] +
+				this.transferTime(query, executor);
 			const work = Math.max(1, this.deps.clock.now() - outcome.sentAt - roundTrip);
 			this.profiles.add(query.kind, work, outcome.answerBytes);
 		}
@@ -242,15 +264,16 @@
 			slowdown: this.slowdownOf(view, now),
 			load: loadOf(view, now),
 			slots: view.load?.slots ?? (member.slots > 0 ? member.slots : defaultSlots),
-			roundTrip: roundTrips[distance],
+			roundTrip: roundTrips[distance] + this.transferTime(query, member),
 			rateWait: disabled?.has(Mechanism.RateReport) ? 0 : rateWaitOf(view, now),
 		});
 		const {objectiveLeft, timeLeft} = query;
 		const lateness = expectedLoss({expected: time, objectiveLeft, timeLeft});
-		const bytes = overheadBytes + query.requestBytes + profile.answerBytes;
+		const bytes = overheadBytes + profile.answerBytes;
 		const loss =
 			lateness +
 			this.transferLoss(distance, bytes, query.priority) +
+			Math.min(maxBodyLoss, this.transferLoss(distance, query.requestBytes, query.priority)) +
 			(timeLoss * time) / Math.max(1, objectiveLeft) +
 			(disabled?.has(Mechanism.FailureLoss) ? 0 : failureLoss(view, now)) +
 			(now < view.avoidUntil ? avoidLoss : 0);
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -1,5 +1,6 @@
 import {randomInt} from 'node:crypto';
 import {createActor} from 'xstate';
+import {ColdLimit} from '../backend/index.js';
 import type {Clock, Millis, Undo} from '../clock/index.js';
 import {GossipSocket} from '../datagram/index.js';
 import {RevisionTracker, type KnownRevisions} from '../declaration/index.js';
@@ -18,6 +19,7 @@
 	type Rumor,
 } from '../membership/index.js';
 import {BackendMonitor} from '../node/backend-monitor.js';
+import {ColdMonitor} from '../node/cold-monitor.js';
 import {CrashWatcher} from '../node/crash-watcher.js';
 import {EvacuationMonitor} from '../node/evacuation-monitor.js';
 import {LinkBudgets} from '../node/link-budgets.js';
@@ -80,6 +82,8 @@
 	private readonly placeCheck: PlaceCheck;
 	private readonly socket: GossipSocket;
 	private readonly budgets: LinkBudgets;
+	private readonly coldLimit: ColdLimit | undefined;
+	private readonly cold: ColdMonitor | undefined;
 	private readonly pauseDetector: PauseDetector;
 	private undoGossipCheck: Undo | undefined;
 
@@ -108,6 +112,8 @@
 			host: this.createGossipHost(),
 		});
 		this.crashWatcher = this.createCrashWatcher();
+		this.coldLimit = settings.cold && new ColdLimit(clock, settings.cold, hooks.isRestart);
+		this.cold = this.createColdMonitor();
 		this.executor = this.createExecutor();
 		this.backend = new BackendMonitor({
 			clock,
@@ -115,6 +121,7 @@
 			revisions,
 			executor: this.executor,
 			gossip: this.gossip,
+			cold: this.cold,
 			announcementTimeout: hooks.announcementTimeout,
 			isRestart: hooks.isRestart,
 		});
@@ -294,6 +301,11 @@
 			createSender: (target) => new BackendClient(target, this.hooks.backendProtocol, this.clock),
 			crashWatch: this.crashWatcher,
 			checkPlace: (head) => this.placeCheck.check(head),
+			coldLimit: this.coldLimit,
+			linkRate: this.settings.linkRate,
+			onColdReport: (left, sentAt) => {
+				this.cold?.recordAnswer(left, sentAt);
+			},
 			onBackendUnreachable: () => {
 				this.backend.markUnreachable();
 			},
@@ -302,11 +314,31 @@
 			},
 			probeSpeed: async () => this.hooks.probeSpeed(),
 			onLoadChanged: () => {
+				this.cold?.checkSpeed(this.executor.report().slowdown);
 				this.hooks.handleLoadChanged();
 			},
 		});
 	}
 
+	private createColdMonitor(): ColdMonitor | undefined {
+		const {clock, logger, metrics, coldLimit} = this;
+		return (
+			coldLimit &&
+			new ColdMonitor({
+				clock,
+				logger,
+				metrics,
+				limit: coldLimit,
+				onLimitChanged: () => {
+					this.hooks.handleLoadChanged();
+				},
+				askHealthPath: () => {
+					void this.hooks.probeSpeed();
+				},
+			})
+		);
+	}
+
 	private getContent(hash: string, base: string | undefined): ContentReply {
 		const delta = base === undefined ? undefined : this.revisions.deltaOf(hash, base);
 		return {content: delta === undefined ? this.revisions.contentOf(hash) : undefined, delta};
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -178,6 +178,7 @@
 			keyedCalls: undefined,
 			configuration: () => (this.core.isAcceptingCalls ? revisions.inForce : undefined),
 			runCall: async (call) => runner.run(call),
+			refuseAhead: async (call) => runner.refuseAhead(call),
 		});
 		revisions.registerListener((index) => {
 			this.applyConfiguration(index);
@@ -338,6 +339,7 @@
 			disabled: this.settings.disabled,
 			costs: {otherZone, otherRegion},
 			zones,
+			linkRate: this.settings.linkRate,
 			lowestPriority: () => this.lowestPriority,
 		});
 		return this.placement;
