Bind nested calls to their parent's regions after its attempt has ended; count silence of a link from its first call

A canceled attempt left its backend server free to send a nested call to any region.

A link without calls carries no frames, so that a call on a link that had been idle for 0.8 s could be ended as executor-lost by the next check, at once.

--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -244,28 +244,17 @@
 
 	/**
 	 * @param requestId - id of a request.
-	 * @returns the request that runs here and whose id the given id extends, as the ids of nested calls do; the
-	 * one with the longest id if there are several, as that is the direct parent; undefined if there is none.
+	 * @returns whether the id extends the id of a request that runs here, as the ids of nested calls do.
 	 */
-	findParent(requestId: string): RequestHead | undefined {
-		let parent: RequestHead | undefined;
+	isRunningParentOf(requestId: string): boolean {
 		for (const {head} of this.inFlight.keys()) {
-			const id = head.origin.requestId;
-			const isParent = requestId.length > id.length && requestId.startsWith(id);
-			if (isParent && id.length > (parent?.origin.requestId.length ?? -1)) {
-				parent = head;
+			const parent = head.origin.requestId;
+			if (requestId.length > parent.length && requestId.startsWith(parent)) {
+				return true;
 			}
 		}
 
-		return parent;
-	}
-
-	/**
-	 * @param requestId - id of a request.
-	 * @returns whether the id extends the id of a request that runs here, as the ids of nested calls do.
-	 */
-	isRunningParentOf(requestId: string): boolean {
-		return this.findParent(requestId) !== undefined;
+		return false;
 	}
 
 	/**
--- a/src/executor/place-check.ts
+++ b/src/executor/place-check.ts
@@ -1,4 +1,6 @@
+import {LRUCache} from 'lru-cache';
 import {commonRegions, isRegionAllowed, RefusalReason, type RequestHead} from '../call/index.js';
+import {minute, type Clock, type Millis} from '../clock/index.js';
 import type {DeclarationIndex, RevisionTracker} from '../declaration/index.js';
 import type {Place, ZoneFilter} from '../evacuation/index.js';
 
@@ -8,8 +10,19 @@
 	readonly place: Place;
 	readonly zones: Pick<ZoneFilter, 'isEvacuated'>;
 	readonly revisions: Pick<RevisionTracker, 'inForce'>;
+	readonly clock: Pick<Clock, 'now'>;
 }
 
+/**
+ * How long a restricted request binds its nested calls from its start on. Longer than any call runs, as a backend
+ * server may go on with a request whose attempt was canceled.
+ */
+const parentRetention: Millis = minute;
+/** Maximum number of restricted requests that are remembered. */
+const maxParents = 4000;
+
+type Parent = {readonly allowedRegions: readonly string[]; readonly until: Millis};
+
 type RegionRules = {
 	readonly index: DeclarationIndex | undefined;
 	readonly byRoute: ReadonlyMap<string, readonly string[]>;
@@ -21,6 +34,8 @@
  */
 export class PlaceCheck {
 	private rules: RegionRules = {index: undefined, byRoute: new Map()};
+	/** Restricted requests that were started here, by id. */
+	private readonly parents = new LRUCache<string, Parent>({max: maxParents});
 
 	constructor(private readonly deps: PlaceCheckDependencies) {}
 
@@ -29,20 +44,42 @@
 	 * @returns why it may not run here; undefined if it may.
 	 */
 	check(head: RequestHead): RefusalReason | undefined {
-		const {place, zones} = this.deps;
-		if (!isRegionAllowed(place.region, this.regionsOf(head))) {
+		const {place, zones, clock} = this.deps;
+		const allowedRegions = this.regionsOf(head);
+		if (!isRegionAllowed(place.region, allowedRegions)) {
 			return RefusalReason.RegionNotAllowed;
 		}
 
+		if (allowedRegions) {
+			const until = clock.now() + parentRetention;
+			this.parents.set(head.origin.requestId, {allowedRegions, until});
+		}
+
 		return zones.isEvacuated(place) ? RefusalReason.ZoneEvacuated : undefined;
 	}
 
 	/**
-	 * @param head - a request.
-	 * @returns the regions that it, its route and its customer allow, the latter two by the configuration in
-	 * force here; undefined for any.
+	 * @param requestId - id of a request; that of a nested call extends the id of the request it belongs to.
+	 * @returns the regions that the request which it belongs to may be sent to; undefined for any.
 	 */
-	regionsOf({allowedRegions, origin, customer}: RequestHead): readonly string[] | undefined {
+	regionsOfParent(requestId: string): readonly string[] | undefined {
+		for (let end = requestId.length - 1; end > 0 && this.parents.size > 0; end--) {
+			const parent = this.parents.get(requestId.slice(0, end));
+			if (parent && parent.until > this.deps.clock.now()) {
+				return parent.allowedRegions;
+			}
+		}
+
+		return undefined;
+	}
+
+	// The regions that the ingress, the route and the customer allow, the latter two by the configuration in
+	// force here.
+	private regionsOf({
+		allowedRegions,
+		origin,
+		customer,
+	}: RequestHead): readonly string[] | undefined {
 		const {inForce} = this.deps.revisions;
 		if (!inForce) {
 			return allowedRegions;
--- a/src/link/peer-session.ts
+++ b/src/link/peer-session.ts
@@ -68,6 +68,8 @@
 	private readonly pendingRequests = new Map<number, PendingRequest>();
 	private lastCorrelationId = 0;
 	private isPeerLeaving = false;
+	/** Time since which calls wait for the peer without a gap. */
+	private waitingSince: Millis = 0;
 
 	constructor(
 		readonly link: Link,
@@ -93,7 +95,8 @@
 
 	/** Whether calls wait for the peer and nothing was received from it within the silence timeout. */
 	get isSilent(): boolean {
-		const silence = this.delegate.now() - this.link.lastReceived;
+		// A peer sends nothing on a link without calls.
+		const silence = this.delegate.now() - Math.max(this.link.lastReceived, this.waitingSince);
 		return this.outgoing.size > 0 && silence > silenceTimeout;
 	}
 
@@ -109,6 +112,10 @@
 			return createRefused(RefusalReason.TooManyCalls);
 		}
 
+		if (this.outgoing.size === 0) {
+			this.waitingSince = this.delegate.now();
+		}
+
 		const stream = this.link.openStream();
 		const outgoing = new OutgoingAttempt(this.link, stream, attempt, {
 			streamEnded: (ended) => {
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -77,7 +77,7 @@
 	readonly hub: LinkHub;
 	readonly placement: Placement;
 	readonly runner: CallRunner;
-	private readonly placeCheck: PlaceCheck;
+	readonly placeCheck: PlaceCheck;
 	private readonly socket: GossipSocket;
 	private readonly budgets: LinkBudgets;
 	private readonly pauseDetector: PauseDetector;
@@ -97,7 +97,7 @@
 		this.instance = `${this.id}#${incarnation}`;
 		this.evacuations = new EvacuatedZones(clock, this.id);
 		const {evacuations: zones} = this;
-		this.placeCheck = new PlaceCheck({place: settings, zones, revisions});
+		this.placeCheck = new PlaceCheck({place: settings, zones, revisions, clock});
 		this.pauseDetector = new PauseDetector(clock);
 		this.budgets = new LinkBudgets({clock, metrics, revisions, gossip: () => this.gossip});
 		this.socket = this.createGossipSocket();
@@ -153,15 +153,6 @@
 		return this.state === NodeState.Ready || this.state === NodeState.Draining;
 	}
 
-	/**
-	 * @param requestId - id of a nested call.
-	 * @returns the regions that the request which it belongs to may be sent to; undefined for any.
-	 */
-	regionsOfParent(requestId: string): readonly string[] | undefined {
-		const parent = this.executor.findParent(requestId);
-		return parent && this.placeCheck.regionsOf(parent);
-	}
-
 	/** Opens the ports for links and gossip. */
 	async listen(): Promise<void> {
 		const {address, linkPort} = this.settings;
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -167,7 +167,7 @@
 			logger,
 			protocol: adapters.createCallerProtocol(
 				(id) => executor.isRunningParentOf(id),
-				(id) => this.core.regionsOfParent(id),
+				(id) => this.core.placeCheck.regionsOfParent(id),
 			),
 			keyedCalls: undefined,
 			configuration: () => (this.core.isAcceptingCalls ? revisions.inForce : undefined),
