--- a/src/link/__tests__/unit/peer-session.test.ts
+++ b/src/link/__tests__/unit/peer-session.test.ts
@@ -7,7 +7,6 @@
 	createUnknown,
 	type Attempt,
 } from '../../../exchange/index.js';
-
 import {OpenTarget, PeerSession} from '../../index.js';
 import type {Link} from '../../link.js';
 import {silenceTimeout} from '../../link-limits.js';
