--- a/tests/evacuation.test.ts
+++ b/tests/evacuation.test.ts
@@ -150,6 +150,17 @@
 		expect(zones.find(({zone}) => zone === 'a')?.source).not.toBe('store');
 	});
 
+	it('send nothing there after a freeze, when they still have the state from before it', async () => {
+		mesh.signalNode(other, 'SIGSTOP');
+		await mesh.writeRow('op', evacuationRow, '');
+		await awaitEvacuation(true, [inA, inB]);
+		const before = inA.backend.seen.length;
+		mesh.signalNode(other, 'SIGCONT');
+		expect(statusesOf(await sendFromAll(20, [other]))).toEqual(new Set([200]));
+		await awaitEvacuation(true, [other]);
+		expect(inA.backend.seen).toHaveLength(before);
+	});
+
 	it('read the end from a snapshot when the store has dropped the history that contains it', async () => {
 		await mesh.writeRow('op', evacuationRow, '');
 		await awaitEvacuation(true);
