--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -173,7 +173,7 @@
 			revisions,
 			protocol: adapters.createCallerProtocol(
 				(id) => executor.isRunningParentOf(id),
-				(id) => this.core.regionsOfParent(id),
+				(id) => this.core.placeCheck.regionsOfParent(id),
 			),
 			keyedCalls: undefined,
 			configuration: () => (this.core.isAcceptingCalls ? revisions.inForce : undefined),
