Close a caller's connection behind an answer to a request that was not read to its end

Node.js reads the rest of a body only if nobody has read any of it. Behind an upload that was answered or refused after a part of its body was read, the connection was kept open but not read, and the next valid request on it got no answer until a 408 after 60 to 90 s.

--- a/src/ingress/__tests__/unit/ingress.test.ts
+++ b/src/ingress/__tests__/unit/ingress.test.ts
@@ -415,6 +415,36 @@
 		});
 	});
 
+	// The server reads the rest of a body only if nobody has read any of it. The next request was never seen, and was
+	// answered with 408 after a minute.
+	it.each(['answer', 'refusal'])(
+		'leaves no connection open behind an %s when the body of its request was read in part',
+		async (kind) => {
+			const caller = open();
+			const head = 'POST /unsafe/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 400000\r\n\r\n';
+			caller.socket.write(head + 'x'.repeat(200_000));
+			await until(() => started.length === 1);
+			const {stream} = calls.get('/unsafe/1')!.call.body;
+			stream!.once('data', () => {
+				stream!.pause();
+			});
+			await sleep();
+			if (kind === 'answer') {
+				finish('/unsafe/1');
+			} else {
+				const result = createUnknown(RefusalReason.AnswerTimeout);
+				calls.get('/unsafe/1')!.end({result, attempts: 1, executor: undefined});
+			}
+
+			await until(() => caller.statuses.length === 1);
+			caller.socket.write('x'.repeat(200_000));
+			caller.send('/safe/2');
+			await until(() => caller.isClosed);
+			expect(caller.received).toMatch(/connection: close/iv);
+			expect(started).toEqual(['/unsafe/1']);
+		},
+	);
+
 	it('asks for a body only once the request may be forwarded', async () => {
 		const caller = open();
 		const head = 'HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n';
--- a/src/ingress/caller-connection.ts
+++ b/src/ingress/caller-connection.ts
@@ -104,13 +104,12 @@
 
 	/**
 	 * Decides whether the connection closes behind the answer, if all earlier answers are complete.
-	 * @param mustBeRead - whether the connection closes if the request has not been read to its end by now.
 	 * @returns whether the answer may be written now; otherwise `waitToAnswer` waits.
 	 */
-	tryAnswer(mustBeRead: boolean): boolean {
+	tryAnswer(): boolean {
 		const isPermitted = !this.isLost && this.isNext;
 		if (isPermitted) {
-			this.connection.startAnswer(this, mustBeRead && !this.req.complete);
+			this.connection.startAnswer(this);
 		}
 
 		return isPermitted;
@@ -119,16 +118,15 @@
 	/**
 	 * Waits until the answer may be written, and decides whether the connection closes behind it.
 	 * @param bytes - memory that the answer takes while it waits, in bytes.
-	 * @param mustBeRead - whether the connection closes if the request has not been read to its end by then.
 	 * @returns false if the answer cannot be written, as the connection closes before it.
 	 */
-	async waitToAnswer(bytes: number, mustBeRead: boolean): Promise<boolean> {
+	async waitToAnswer(bytes: number): Promise<boolean> {
 		if (!this.isLost && !this.isNext) {
 			this.connection.hold(this, bytes);
 			await this.whenNext();
 		}
 
-		return this.tryAnswer(mustBeRead);
+		return this.tryAnswer();
 	}
 
 	/** Waits until all earlier answers are complete, or the connection is lost. */
@@ -183,6 +181,8 @@
 	/** Whether the listener that keeps the connection paused is registered. */
 	private isPauseKept = false;
 	private isLingering = false;
+	/** The request whose answer closes the connection. */
+	private lastRequest: IncomingMessage | undefined;
 
 	constructor(
 		private readonly socket: Socket,
@@ -315,14 +315,16 @@
 	}
 
 	/**
-	 * Decides whether the connection closes behind the answer that is written next.
+	 * Decides whether the connection closes behind the answer that is written next. It does so if the request has not
+	 * been read to its end: nobody may read the rest of a body of which a part was read, and then the next request on
+	 * the connection would not be seen.
 	 * @param turn - turn of its request.
-	 * @param mustClose - whether the answer itself requires it.
 	 */
-	startAnswer({res}: CallerTurn, mustClose: boolean): void {
-		const {closes, dropped} = this.pipeline.startAnswer(mustClose || !res.shouldKeepAlive);
+	startAnswer({req, res}: CallerTurn): void {
+		const {closes, dropped} = this.pipeline.startAnswer(!req.complete || !res.shouldKeepAlive);
 		if (closes) {
 			res.shouldKeepAlive = false;
+			this.lastRequest = req;
 			this.lose(dropped);
 		}
 	}
@@ -334,6 +336,8 @@
 		this.isReadPaused = false;
 		this.isLingering = true;
 		socket.end();
+		this.lastRequest?.unpipe();
+		this.lastRequest?.resume();
 		socket.resume();
 		const undo = deps.clock.after(lingerTime, () => {
 			socket.destroy();
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -237,7 +237,7 @@
 		turn.refuse();
 		const key = keyedCalls.issueKey();
 		const text = `${JSON.stringify({key})}\n`;
-		if (!(await turn.waitToAnswer(text.length, true))) {
+		if (!(await turn.waitToAnswer(text.length))) {
 			return Outcome.NotRun;
 		}
 
@@ -356,10 +356,10 @@
 			turn.closeBehind();
 		}
 
-		if (!turn.tryAnswer(false)) {
+		if (!turn.tryAnswer()) {
 			// A stream that fails while it waits is found to be `errored` afterwards.
 			stream?.on('error', () => undefined);
-			if (!(await turn.waitToAnswer(body.bytes?.length ?? maxInlineBodyBytes, false))) {
+			if (!(await turn.waitToAnswer(body.bytes?.length ?? maxInlineBodyBytes))) {
 				stream?.destroy();
 				return Outcome.Unknown;
 			}
@@ -429,8 +429,7 @@
 		const refusal = refusals[reason];
 		this.deps.metrics.refusals.inc({reason});
 		const text = `${JSON.stringify({outcome: refusal.outcome, reason, attempts: end?.attempts})}\n`;
-		// The rest of a refused request is not read.
-		if (turn.tryAnswer(true) || (await turn.waitToAnswer(text.length, true))) {
+		if (turn.tryAnswer() || (await turn.waitToAnswer(text.length))) {
 			this.writeHead(turn.res, refusal.status, this.refusalHeaders(notice, text));
 			turn.res.end(text);
 		}
--- a/tests/valid-requests.test.ts
+++ b/tests/valid-requests.test.ts
@@ -1,4 +1,4 @@
-import {Agent} from 'node:http';
+import {Agent, request} from 'node:http';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 import type {Behavior} from '../scaffold/mesh/mesh-backend.js';
 import {eventually, Mesh, type MeshNode, type MeshRoute} from '../scaffold/mesh/mesh.js';
@@ -91,6 +91,40 @@
 		},
 	);
 
+	// The node had read a part of the body and kept the connection, but never read the rest. The next request on it got
+	// no answer until a 408 after 60 to 90 s.
+	it('are answered on the connection of an upload that was too slow', async () => {
+		const agent = new Agent({keepAlive: true, maxSockets: 1});
+		const size = 400_000;
+		const upload = request({
+			host: beta.address,
+			port: mesh.callerPort,
+			method: 'POST',
+			path: '/bu72/deep/upload',
+			agent,
+			headers: {
+				host: 'a.example',
+				'x-attempt-id': 'slow-upload',
+				'x-request-deadline': '300',
+				'content-length': String(size),
+			},
+		});
+		upload.write(Buffer.alloc(size / 2));
+		const status = await new Promise((resolve) => {
+			upload.once('response', (res) => {
+				res.resume().once('end', () => {
+					resolve(res.statusCode);
+				});
+				upload.end(Buffer.alloc(size / 2));
+			});
+			upload.on('error', () => undefined);
+		});
+		expect(status).toBe(504);
+		const answer = await mesh.send(beta, {path: '/bu72/fa1', agent});
+		expect(answer.status).toBe(200);
+		agent.destroy();
+	});
+
 	it('find their route on kept connections and new ones while configurations change', async () => {
 		const statuses: number[] = [];
 		const progress = {isOver: false};
