--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -39,7 +39,6 @@
 } from './caller-protocol.js';
 import {BodyMemory} from './body-memory.js';
 import {CustomerUsage} from './customer-usage.js';
-import {canDiscard, discardRest} from './discard.js';
 import {fingerprint} from './fingerprint.js';
 import {NewestConfiguration} from './newest-configuration.js';
 import {ParseFailureAction} from './parse-failure.js';
@@ -193,7 +192,6 @@
 			this.calls.delete(res);
 			this.customers.leave(res, outcome);
 			const {metrics, clock} = this.deps;
-			discardRest(req, clock);
 			metrics.inFlight.set(this.calls.size);
 			metrics.calls.inc({outcome});
 			metrics.duration.observe({outcome}, (clock.now() - startedAt) / second);
@@ -298,7 +296,7 @@
 		turn.refuse();
 		const key = keyedCalls.issueKey();
 		const text = `${JSON.stringify({key})}\n`;
-		if (!(await turn.waitToAnswer(text.length, this.mustBeRead(turn.req)))) {
+		if (!(await turn.waitToAnswer(text.length))) {
 			return Outcome.NotRun;
 		}
 
@@ -442,15 +440,10 @@
 			turn.closeBehind();
 		}
 
-		if (!turn.tryAnswer(this.mustBeRead(turn.req))) {
+		if (!turn.tryAnswer()) {
 			// A stream that fails while it waits is found to be `errored` afterwards.
 			stream?.on('error', () => undefined);
-			if (
-				!(await turn.waitToAnswer(
-					body.bytes?.length ?? maxInlineBodyBytes,
-					this.mustBeRead(turn.req),
-				))
-			) {
+			if (!(await turn.waitToAnswer(body.bytes?.length ?? maxInlineBodyBytes))) {
 				stream?.destroy();
 				return Outcome.Unknown;
 			}
@@ -521,10 +514,7 @@
 		this.deps.metrics.refusals.inc({reason});
 		this.customers.recordRefused(turn.res, reason);
 		const text = `${JSON.stringify({outcome: refusal.outcome, reason, attempts: end?.attempts})}\n`;
-		if (
-			turn.tryAnswer(this.mustBeRead(turn.req)) ||
-			(await turn.waitToAnswer(text.length, this.mustBeRead(turn.req)))
-		) {
+		if (turn.tryAnswer() || (await turn.waitToAnswer(text.length))) {
 			this.writeHead(turn.res, refusal.status, this.refusalHeaders(notice, text));
 			turn.res.end(text);
 		}
@@ -607,12 +597,6 @@
 		);
 	}
 
-	// Whether the connection closes if the request has not been read to its end: the caller may not send the rest, or it
-	// is too large to be discarded.
-	private mustBeRead(req: IncomingMessage): boolean {
-		return this.awaitingContinue.has(req) || !canDiscard(req);
-	}
-
 	private writeHead(res: ServerResponse, status: number, headers: HeaderList): void {
 		res.sendDate = !hasDate(headers);
 		res.writeHead(status, headers);
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -146,7 +146,9 @@
 			gossip,
 			zones,
 			executor,
-			onOwnZoneReturned: () => undefined,
+			onOwnZoneReturned: () => {
+				this.backend.assumeCold();
+			},
 		}).start();
 	}
 
