--- a/src/backend/dispatch-order.ts
+++ b/src/backend/dispatch-order.ts
@@ -30,11 +30,15 @@
 	 * @returns a negative number if `a` starts first.
 	 */
 	compare(a: OrderedCall, b: OrderedCall, now: Millis, isOverloaded = false): number {
+		if (isSameAccount(a, b)) {
+			return compareUrgency(a, b, now, isOverloaded);
+		}
+
 		return (
 			compareLateness(a, b, now) ||
 			this.compareOwed(a, b) ||
 			comparePriority(a, b) ||
-			this.compareShare(a, b) ||
+			this.tagOf(a) - this.tagOf(b) ||
 			compareUrgency(a, b, now, isOverloaded)
 		);
 	}
@@ -50,10 +54,13 @@
 		let own = 0;
 		const rivals = new Map<string, {first: OrderedCall; count: number}>();
 		for (const other of queue) {
-			const rank = compareRank(other, call, now);
 			if (isSameAccount(other, call)) {
-				own += rank < 0 || (rank === 0 && compareUrgency(other, call, now) <= 0) ? 1 : 0;
-			} else if (rank < 0) {
+				own += compareUrgency(other, call, now) <= 0 ? 1 : 0;
+				continue;
+			}
+
+			const rank = compareRank(other, call, now);
+			if (rank < 0) {
 				ahead += 1;
 			} else if (rank === 0) {
 				const rival = rivals.get(other.customer);
@@ -65,6 +72,10 @@
 			return 0;
 		}
 
+		if (rivals.size === 0) {
+			return ahead + own;
+		}
+
 		const shares = this.sharesOf(call);
 		const tag = shares.startTag(call, own);
 		for (const {first, count} of rivals.values()) {
@@ -147,10 +158,6 @@
 		return Number(!isPreferred(a)) - Number(!isPreferred(b));
 	}
 
-	private compareShare(a: OrderedCall, b: OrderedCall): number {
-		return isSameAccount(a, b) ? 0 : this.tagOf(a) - this.tagOf(b);
-	}
-
 	private tagOf(call: OrderedCall, ahead = 0): number {
 		return call.isNested ? 0 : this.sharesOf(call).startTag(call, ahead);
 	}
