--- a/src/link/__tests__/unit/peer-session.test.ts
+++ b/src/link/__tests__/unit/peer-session.test.ts
@@ -25,7 +25,7 @@
 		staleness: () => 0,
 		runnerFor: () => ({run: async () => createUnknown(RefusalReason.Canceled)}),
 		queryAndFence: () => AttemptState.Fenced,
-		getContent: () => undefined,
+		getContent: () => ({content: undefined, delta: undefined}),
 		acceptHandover: () => undefined,
 		peerLeaving: () => undefined,
 		peerLoadReported: () => undefined,
