--- /dev/null
+++ b/src/quota/own-part.ts
@@ -0,0 +1,55 @@
+import {second, type Millis} from '../clock/index.js';
+import {DebtBucket} from './debt-bucket.js';
+import {overdraftOf, type CustomerLimit, type QuotaSettings} from './quota-limit.js';
+
+/**
+ * Part of a customer's limit that a node uses without news from an aggregator. Less than a whole token is spent at
+ * once and admits a request with that probability, so that all nodes together keep to the limit on average, however
+ * often they are asked.
+ */
+export class OwnPart {
+	private bucket: DebtBucket | undefined;
+
+	constructor(private readonly settings: QuotaSettings) {}
+
+	/**
+	 * @param limit - limit of the customer over all nodes.
+	 * @param nodes - number of nodes among which it is divided.
+	 * @param draw - a random number from 0 to 1.
+	 * @param now - monotonic time in ms.
+	 * @returns whether a request may run.
+	 */
+	admit(limit: CustomerLimit, nodes: number, draw: number, now: Millis): boolean {
+		const bucket = this.advance(limit, nodes, now);
+		const {level} = bucket;
+		bucket.charge(Math.min(1, level));
+		return draw < level;
+	}
+
+	/**
+	 * @param limit - limit of the customer over all nodes.
+	 * @param nodes - number of nodes among which it is divided.
+	 * @param now - monotonic time in ms.
+	 * @returns the time until a whole token is there, in ms; at most the window of the count.
+	 */
+	wait(limit: CustomerLimit, nodes: number, now: Millis): Millis {
+		const {level} = this.advance(limit, nodes, now);
+		const wait = (Math.max(0, 1 - level) * second * nodes) / limit.rate;
+		return Math.min(this.settings.window, wait);
+	}
+
+	/** Returns a token. */
+	giveBack(): void {
+		this.bucket?.charge(-1);
+	}
+
+	private advance(limit: CustomerLimit, nodes: number, now: Millis): DebtBucket {
+		const part = {
+			rate: limit.rate / nodes,
+			burst: (limit.burst + overdraftOf(limit, this.settings)) / nodes,
+		};
+		this.bucket ??= new DebtBucket(part.burst, now);
+		this.bucket.advance(now, part);
+		return this.bucket;
+	}
+}
--- /dev/null
+++ b/src/quota/peer-exchange.ts
@@ -0,0 +1,109 @@
+import {second, type Millis} from '../clock/index.js';
+import {CountInbox} from './count-inbox.js';
+import {CountOutbox} from './count-outbox.js';
+import type {QuotaBatch, QuotaCount, QuotaSum} from './quota-message.js';
+
+/** Time without counts after which a final, empty sum ends the exchange. */
+const closeDelay: Millis = 400;
+/** Silence of a peer that has not ended its exchange, after which its zone counts as unreachable. */
+const silenceTime: Millis = 800;
+/** Age from which failure detection tells more than the silence; also of counts that no longer matter. */
+const expiryTime: Millis = 5 * second;
+
+/** Sums exchanged with the aggregator of another zone. */
+export class PeerExchange {
+	readonly outbox = new CountOutbox();
+	private readonly inbox = new CountInbox();
+	private isSending = false;
+	private isFinal = false;
+	private isReceiving = false;
+	private countedAt: Millis;
+	private sentAt: Millis;
+	private receivedAt: Millis = Number.NEGATIVE_INFINITY;
+
+	constructor(now: Millis) {
+		this.countedAt = now;
+		this.sentAt = now;
+	}
+
+	/** Whether the final sum is on its way. */
+	get isLast(): boolean {
+		return this.isFinal;
+	}
+
+	/**
+	 * @param count - requests counted in the own zone.
+	 * @param now - monotonic time in ms.
+	 */
+	add(count: QuotaCount, now: Millis): void {
+		this.outbox.add(count.customer, count.admitted, count.requested);
+		this.countedAt = now;
+	}
+
+	/**
+	 * @param now - monotonic time in ms.
+	 * @returns the batch to send now; undefined if there is nothing to tell.
+	 */
+	batchToSend(now: Millis): QuotaBatch | undefined {
+		const {outbox} = this;
+		if (outbox.inFlight) {
+			if (now - this.sentAt > expiryTime) {
+				outbox.clear();
+				this.isSending = false;
+				return undefined;
+			}
+
+			return outbox.inFlight;
+		}
+
+		const mayClose = this.isSending && now - this.countedAt > closeDelay;
+		if (!outbox.hasWaiting && !mayClose) {
+			return undefined;
+		}
+
+		this.isFinal = !outbox.hasWaiting;
+		this.isSending = !this.isFinal;
+		this.sentAt = now;
+		return outbox.next();
+	}
+
+	/** Whether something is to be sent now or later. */
+	get isBusy(): boolean {
+		return this.isSending || this.outbox.inFlight !== undefined || this.outbox.hasWaiting;
+	}
+
+	/**
+	 * @param sum - a sum from the peer.
+	 * @param now - monotonic time in ms.
+	 * @returns the counts that were not received before.
+	 */
+	receive(sum: QuotaSum, now: Millis): readonly QuotaCount[] {
+		this.receivedAt = now;
+		this.isReceiving = !sum.isLast;
+		return this.inbox.accept(sum.sender, sum.batch);
+	}
+
+	/**
+	 * @param now - monotonic time in ms.
+	 * @returns whether a sum from the peer arrived lately.
+	 */
+	isHeard(now: Millis): boolean {
+		return now - this.receivedAt <= silenceTime;
+	}
+
+	/**
+	 * @param now - monotonic time in ms.
+	 * @returns whether the peer has become silent in the middle of the exchange.
+	 */
+	isLost(now: Millis): boolean {
+		return this.isReceiving && !this.isHeard(now) && !this.isExpired(now);
+	}
+
+	/**
+	 * @param now - monotonic time in ms.
+	 * @returns whether nothing has been received for so long that failure detection knows more.
+	 */
+	isExpired(now: Millis): boolean {
+		return now - this.receivedAt > expiryTime;
+	}
+}
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -63,7 +63,7 @@
 	},
 	{
 		// The core knows nothing of its hosts.
-		files: ['src/{call,backend,routing,membership,declaration,budget,clock,random}/**/*.ts'],
+		files: ['src/{call,backend,routing,membership,declaration,budget,quota,clock,random}/**/*.ts'],
 		rules: {
 			'no-restricted-imports': [
 				'error',
