--- a/bench/quota/quota-books.ts
+++ b/bench/quota/quota-books.ts
@@ -5,7 +5,7 @@
 export interface BookSummary {
 	readonly requests: number;
 	readonly run: number;
-	/** Requests refused although the bucket of the customer, charged with what ran, had a token. */
+	/** Requests that could have run in addition to those that ran, without exceeding the rate and the burst. */
 	readonly lost: number;
 	/** Highest count of any 5 s window as a share of what the window may hold. */
 	readonly worst: number;
@@ -62,7 +62,10 @@
 	refused(at: number): void {
 		this.requests += 1;
 		this.advance(at);
-		this.lost += this.level >= 1 ? 1 : 0;
+		if (this.level >= 1) {
+			this.lost += 1;
+			this.level -= 1;
+		}
 	}
 
 	private advance(at: number): void {
--- a/src/quota/own-part.ts
+++ b/src/quota/own-part.ts
@@ -10,7 +10,11 @@
 export class OwnPart {
 	private bucket: DebtBucket | undefined;
 
-	constructor(private readonly settings: QuotaSettings) {}
+	constructor(
+		private readonly settings: QuotaSettings,
+		/** Whether the customer was below its limit when the last news arrived. */
+		private readonly isFull: boolean,
+	) {}
 
 	/**
 	 * @param limit - limit of the customer over all nodes.
@@ -48,7 +52,7 @@
 			rate: limit.rate / nodes,
 			burst: (limit.burst + overdraftOf(limit, this.settings)) / nodes,
 		};
-		this.bucket ??= new DebtBucket(part.burst, now);
+		this.bucket ??= new DebtBucket(this.isFull ? part.burst : 0, now);
 		this.bucket.advance(now, part);
 		return this.bucket;
 	}
--- a/src/quota/quota-gate.ts
+++ b/src/quota/quota-gate.ts
@@ -54,8 +54,14 @@
 /** How long a request waits for the answer of the aggregator when the news is too old. */
 const askTimeout: Millis = 50;
 const askAgainDelay: Millis = 20;
-/** Time without an answer after which the next candidate is asked. */
-const answerTimeout: Millis = 450;
+/** A report without an answer is sent again after this time, and to the next candidate after some attempts. */
+const answerTimeout: Millis = 80;
+const maxAttempts = 4;
+/** Requests that an aggregator may expect before a final, empty report tells that there are none. */
+const expectedRequests = 3;
+const minFinalDelay: Millis = 300;
+/** Rate of requests per second below which silence tells an aggregator nothing. */
+const minActivity = 1;
 /** Time after which a node that reports to another candidate tries the preferred one again. */
 const returnDelay: Millis = 5 * second;
 /** Another aggregator that answered within this time has shares that a new one does not know. */
@@ -68,7 +74,8 @@
 type CustomerState = {
 	/** Share that is left over from earlier requests; a request runs when it reaches 1. */
 	credit: number;
-	readonly part: OwnPart;
+	/** Part of the limit that the node uses; undefined while an aggregator answers. */
+	part: OwnPart | undefined;
 	readonly use: RateMeter;
 	usedAt: Millis;
 };
@@ -89,9 +96,12 @@
 	private candidate = 0;
 	private preferred = '';
 	private switchedAt: Millis = Number.NEGATIVE_INFINITY;
-	private unansweredSince: Millis | undefined;
+	private attempts = 0;
+	private readonly activity = new RateMeter(second);
 	private reportedAt: Millis = Number.NEGATIVE_INFINITY;
 	private pendingSince: Millis | undefined;
+	/** Whether the last report told that there are no more requests. */
+	private isFinal = false;
 	private undoReport: Undo | undefined;
 
 	constructor(private readonly parts: QuotaGateParts) {}
@@ -123,6 +133,7 @@
 		}
 
 		const now = this.parts.clock.now();
+		this.activity.add(1, now);
 		this.count(customer, 0, 1);
 		if (this.isCutOff || this.isNewsFresh(now)) {
 			return this.decide(customer, limit);
@@ -142,7 +153,7 @@
 
 		const state = this.states.get(customer);
 		if (this.isCutOff) {
-			state?.part.giveBack();
+			state?.part?.giveBack();
 			return;
 		}
 
@@ -159,8 +170,8 @@
 		const now = clock.now();
 		if (this.outbox.acknowledge(message.sequence)) {
 			this.pendingSince = undefined;
-			this.unansweredSince = undefined;
-			this.stopReportOfNothing();
+			this.attempts = 0;
+			this.scheduleNextReport(now);
 		}
 
 		if (this.isCutOff) {
@@ -210,11 +221,11 @@
 	private state(customer: string, now: Millis): CustomerState {
 		let state = this.states.get(customer);
 		if (!state) {
-			const {random, settings} = this.parts;
+			const {random} = this.parts;
 			// Begins at a random credit, as with few requests at each node all of them are first ones.
 			const credit = random.next();
 			const use = new RateMeter(useDecay);
-			state = {credit, part: new OwnPart(settings), use, usedAt: now};
+			state = {credit, part: undefined, use, usedAt: now};
 			this.states.set(customer, state);
 		}
 
@@ -222,8 +233,11 @@
 	}
 
 	private count(customer: string, admitted: number, requested: number): void {
+		const isFirst = !this.outbox.hasWaiting;
 		this.outbox.add(customer, admitted, requested);
-		this.scheduleReport();
+		if (isFirst && !this.outbox.inFlight) {
+			this.scheduleReport(this.period);
+		}
 	}
 
 	private decide(customer: string, limit: CustomerLimit): QuotaVerdict {
@@ -231,9 +245,11 @@
 		const state = this.state(customer, now);
 		state.usedAt = now;
 		if (this.isCutOff) {
-			return this.decideAlone(state, limit, now);
+			state.part ??= new OwnPart(this.parts.settings, !this.shares.has(customer));
+			return this.decideAlone(state, state.part, limit);
 		}
 
+		state.part = undefined;
 		state.credit += this.shareOf(customer, limit);
 		if (state.credit < 1) {
 			const wait = this.shares.get(customer)?.wait ?? 0;
@@ -248,15 +264,16 @@
 	}
 
 	// These requests are not reported as admitted: the aggregators have set the node's part aside.
-	private decideAlone(state: CustomerState, limit: CustomerLimit, now: Millis): QuotaVerdict {
-		const {members, random} = this.parts;
+	private decideAlone(state: CustomerState, part: OwnPart, limit: CustomerLimit): QuotaVerdict {
+		const {clock, members, random} = this.parts;
+		const now = clock.now();
 		const basis = QuotaBasis.OwnPart;
-		if (state.part.admit(limit, members.size, random.next(), now)) {
+		if (part.admit(limit, members.size, random.next(), now)) {
 			state.use.add(1, now);
 			return {isAdmitted: true, basis, wait: 0};
 		}
 
-		return {isAdmitted: false, basis, wait: state.part.wait(limit, members.size, now)};
+		return {isAdmitted: false, basis, wait: part.wait(limit, members.size, now)};
 	}
 
 	// A customer that is not listed has a full bucket. If most nodes are out of reach, the part of a bucket that is left
@@ -315,17 +332,23 @@
 		return reportPeriod * Math.max(1, this.parts.members.ownZoneSize / fullRateMembers);
 	}
 
-	private scheduleReport(): void {
-		this.undoReport ??= this.parts.clock.after(this.period, () => {
+	private scheduleReport(delay: Millis): void {
+		this.undoReport?.();
+		this.undoReport = this.parts.clock.after(delay, () => {
 			this.undoReport = undefined;
 			this.report();
 		});
 	}
 
-	private stopReportOfNothing(): void {
-		if (!this.outbox.hasWaiting) {
-			this.undoReport?.();
-			this.undoReport = undefined;
+	// An active node that gets no more requests tells so with an empty report, or its silence would look like a cut.
+	private scheduleNextReport(now: Millis): void {
+		this.undoReport?.();
+		this.undoReport = undefined;
+		const rate = this.activity.rate(now);
+		if (this.outbox.hasWaiting) {
+			this.scheduleReport(Math.max(0, this.reportedAt + this.period - now));
+		} else if (rate > minActivity && !this.isFinal) {
+			this.scheduleReport(Math.max(minFinalDelay, (expectedRequests / rate) * second));
 		}
 	}
 
@@ -341,24 +364,23 @@
 	private report(): void {
 		const {clock, self} = this.parts;
 		const now = clock.now();
-		this.undoReport?.();
-		this.undoReport = undefined;
 		this.forgetIdle(now);
-		const to = this.aggregator(now);
 		this.pendingSince ??= now;
-		this.unansweredSince ??= now;
 		if (now - this.pendingSince > maxCountAge) {
 			this.outbox.clear();
 			this.pendingSince = undefined;
 			return;
 		}
 
+		const to = this.aggregator(now);
 		const batch = this.outbox.next();
 		const isTakeover =
 			this.answeredBy !== '' && this.answeredBy !== to && now - this.newsAt < takeoverTime;
+		this.isFinal = batch.counts.length === 0;
+		this.attempts += 1;
 		this.reportedAt = now;
 		// Set before the message is sent, as the own node's answer arrives at once.
-		this.scheduleReport();
+		this.scheduleReport(this.attempts < maxAttempts ? answerTimeout : this.period);
 		this.parts.send(to, {type: QuotaMessageType.Report, sender: self, batch, isTakeover});
 	}
 
@@ -369,13 +391,14 @@
 		if (ranking[0] !== this.preferred || now - this.switchedAt > returnDelay) {
 			this.preferred = ranking[0]!;
 			this.candidate = 0;
+			this.attempts = 0;
 			this.switchedAt = Number.POSITIVE_INFINITY;
 		}
 
-		if (this.unansweredSince !== undefined && now - this.unansweredSince > answerTimeout) {
+		if (this.attempts >= maxAttempts) {
 			this.candidate = (this.candidate + 1) % ranking.length;
+			this.attempts = 0;
 			this.switchedAt = now;
-			this.unansweredSince = now;
 		}
 
 		const selected = ranking[this.candidate] ?? this.preferred;
