--- a/src/quota/peer-exchange.ts
+++ b/src/quota/peer-exchange.ts
@@ -4,9 +4,9 @@
 import type {QuotaBatch, QuotaCount, QuotaSum} from './quota-message.js';
 
 /** Time without counts after which a final, empty sum ends the exchange. */
-const closeDelay: Millis = 400;
+const closeDelay: Millis = 200;
 /** Silence of a peer that has not ended its exchange, after which its zone counts as unreachable. */
-const silenceTime: Millis = 800;
+const silenceTime: Millis = 600;
 /** Age from which failure detection tells more than the silence; also of counts that no longer matter. */
 const expiryTime: Millis = 5 * second;
 
--- a/src/quota/quota-aggregator.ts
+++ b/src/quota/quota-aggregator.ts
@@ -38,10 +38,15 @@
 	readonly share: number;
 }
 
-/** Time between two sums for a peer. */
+/** Time between two sums for a peer, and while customers are over their limit. */
 const sumPeriod: Millis = 200;
+const limitedSumPeriod: Millis = 100;
+/** A share that has fallen by this much since it was told is told to the zone at once. */
+const notableFall = 0.2;
 /** How long a new aggregator waits for the reports of most nodes before its shares count. */
 const learningTime: Millis = 400;
+/** Time after the start in which nodes and zones that were not heard of count as unreachable. */
+const settlingTime: Millis = 2 * second;
 /** An aggregator without reports for this time is not in use; its buckets may be outdated. */
 const unusedTime: Millis = second;
 /** Shares and the unreachable part are computed at most this often, as every node asks for them. */
@@ -49,7 +54,7 @@
 const reachAge: Millis = 100;
 /** A node is silent when this many requests were expected from it, and at least this time has passed. */
 const missedRequests = 6;
-const minSilence: Millis = 600;
+const minSilence: Millis = 450;
 /** Age of the silence from which failure detection knows more. */
 const maxSilence: Millis = 5 * second;
 const reporterMemory: Millis = 30 * second;
@@ -70,6 +75,7 @@
 	private reportedAt: Millis = Number.NEGATIVE_INFINITY;
 	private isScheduled = false;
 	private shares: readonly QuotaShare[] = [];
+	private toldShares: ReadonlyMap<string, number> = new Map();
 	private sharesAt: Millis = Number.NEGATIVE_INFINITY;
 	private reach = 1;
 	private reachAt: Millis = Number.NEGATIVE_INFINITY;
@@ -133,14 +139,7 @@
 			this.addOwn(count, now);
 		}
 
-		this.parts.send(sender.id, {
-			type: QuotaMessageType.Shares,
-			sender: this.parts.self,
-			sequence: batch.sequence,
-			isLearning: now - this.startedAt < learningTime,
-			reach: this.currentReach(now),
-			shares: this.currentShares(now),
-		});
+		this.sendShares(sender.id, batch.sequence, now);
 	}
 
 	/**
@@ -172,6 +171,7 @@
 
 	private startEmpty(now: Millis): void {
 		this.buckets.clear();
+		this.reporters.clear();
 		this.startedAt = now;
 		this.sharesAt = Number.NEGATIVE_INFINITY;
 		this.parts.observer.aggregatorStarted();
@@ -240,7 +240,7 @@
 		}
 
 		this.isScheduled = true;
-		this.parts.clock.after(sumPeriod, () => {
+		this.parts.clock.after(this.shares.length > 0 ? limitedSumPeriod : sumPeriod, () => {
 			this.isScheduled = false;
 			this.sendSums();
 		});
@@ -265,6 +265,7 @@
 		}
 
 		this.forgetIdle(now);
+		this.tellFallenShares(now);
 		if (isBusy) {
 			this.schedule();
 		}
@@ -314,6 +315,35 @@
 		return shares;
 	}
 
+	// Nodes learn of a share with the answer to their next report; when a demand rises, that is late.
+	private tellFallenShares(now: Millis): void {
+		const shares = this.currentShares(now);
+		const hasFallen = shares.some(
+			({customer, share}) => share < (this.toldShares.get(customer) ?? 1) - notableFall,
+		);
+		this.toldShares = new Map(shares.map(({customer, share}) => [customer, share]));
+		if (!hasFallen || !this.isInUse) {
+			return;
+		}
+
+		for (const [id, {at}] of this.reporters) {
+			if (now - at <= unusedTime) {
+				this.sendShares(id, 0, now);
+			}
+		}
+	}
+
+	private sendShares(to: string, sequence: number, now: Millis): void {
+		this.parts.send(to, {
+			type: QuotaMessageType.Shares,
+			sender: this.parts.self,
+			sequence,
+			isLearning: now - this.startedAt < learningTime,
+			reach: this.currentReach(now),
+			shares: this.currentShares(now),
+		});
+	}
+
 	private noteLimited({customer, demand, share}: QuotaShare, now: Millis): void {
 		if (!this.limitedAt.has(customer)) {
 			this.parts.observer.customerLimited(customer, demand, share);
@@ -345,6 +375,10 @@
 			}
 		}
 
+		if (now - this.startedAt < settlingTime) {
+			this.addUnheard(apart, now);
+		}
+
 		apart.delete(this.parts.self.id);
 		const reach = Math.max(1, members.size - apart.size) / members.size;
 		if (reach !== this.reach) {
@@ -356,6 +390,19 @@
 		return reach;
 	}
 
+	// After a takeover, whoever reported to the earlier aggregator may be cut off, which failure detection finds later.
+	private addUnheard(apart: Set<string>, now: Millis): void {
+		const {members, self} = this.parts;
+		for (const zone of members.zoneNames) {
+			const isOwn = zone === members.zoneOf(self.id);
+			for (const id of members.idsIn(zone)) {
+				if (isOwn ? !this.reporters.has(id) : !this.isZoneHeard(zone, now)) {
+					apart.add(id);
+				}
+			}
+		}
+	}
+
 	private isZoneHeard(zone: string, now: Millis): boolean {
 		const {members, self} = this.parts;
 		if (zone === members.zoneOf(self.id)) {
--- a/src/quota/quota-gate.ts
+++ b/src/quota/quota-gate.ts
@@ -51,6 +51,8 @@
 const minReportGap: Millis = 50;
 /** News older than this is not used. */
 const maxNewsAge: Millis = second;
+/** Time without an answer to a report after which the share of a limited customer is not used either. */
+const maxShareSilence: Millis = 500;
 /** How long a request waits for the answer of the aggregator when the news is too old. */
 const askTimeout: Millis = 50;
 const askAgainDelay: Millis = 20;
@@ -59,7 +61,7 @@
 const maxAttempts = 4;
 /** Requests that an aggregator may expect before a final, empty report tells that there are none. */
 const expectedRequests = 3;
-const minFinalDelay: Millis = 300;
+const minFinalDelay: Millis = 200;
 /** Rate of requests per second below which silence tells an aggregator nothing. */
 const minActivity = 1;
 /** Time after which a node that reports to another candidate tries the preferred one again. */
@@ -168,6 +170,10 @@
 	handleShares(message: QuotaShares): void {
 		const {clock, observer} = this.parts;
 		const now = clock.now();
+		if (message.sequence === 0 && message.sender.id !== this.answeredBy) {
+			return;
+		}
+
 		if (this.outbox.acknowledge(message.sequence)) {
 			this.pendingSince = undefined;
 			this.attempts = 0;
@@ -183,9 +189,8 @@
 		this.newsAt = now;
 		this.isCutOff = false;
 		this.reach = message.reach;
-		if (!message.isLearning || !hasShares) {
-			this.shares = new Map(message.shares.map((share) => [share.customer, share]));
-		}
+		const earlier = message.isLearning && hasShares ? this.shares : undefined;
+		this.shares = mergeShares(message.shares, earlier);
 
 		for (const resume of this.waiters.splice(0)) {
 			resume();
@@ -218,6 +223,11 @@
 		return now - this.newsAt <= maxNewsAge;
 	}
 
+	private isShareOutdated(customer: string, now: Millis): boolean {
+		const silence = this.pendingSince === undefined ? 0 : now - this.pendingSince;
+		return silence > maxShareSilence && this.shares.has(customer);
+	}
+
 	private state(customer: string, now: Millis): CustomerState {
 		let state = this.states.get(customer);
 		if (!state) {
@@ -244,7 +254,7 @@
 		const now = this.parts.clock.now();
 		const state = this.state(customer, now);
 		state.usedAt = now;
-		if (this.isCutOff) {
+		if (this.isCutOff || this.isShareOutdated(customer, now)) {
 			state.part ??= new OwnPart(this.parts.settings, !this.shares.has(customer));
 			return this.decideAlone(state, state.part, limit);
 		}
@@ -417,3 +427,19 @@
 		}
 	}
 }
+
+// An aggregator that is new knows less of the demand than the one before it, so the lower share counts.
+function mergeShares(
+	shares: readonly QuotaShare[],
+	earlier: ReadonlyMap<string, QuotaShare> | undefined,
+): Map<string, QuotaShare> {
+	const merged = new Map(earlier);
+	for (const share of shares) {
+		const known = merged.get(share.customer);
+		if (!known || share.share < known.share) {
+			merged.set(share.customer, share);
+		}
+	}
+
+	return merged;
+}
--- a/src/quota/quota-members.ts
+++ b/src/quota/quota-members.ts
@@ -60,6 +60,12 @@
 		return this.total;
 	}
 
+	/** Zones with members, each with its region. */
+	get zoneNames(): readonly string[] {
+		this.refresh();
+		return [...this.idsByZone.keys()];
+	}
+
 	/** Number of zones with members. */
 	get zones(): number {
 		this.refresh();
--- a/src/quota/quota-message.ts
+++ b/src/quota/quota-message.ts
@@ -57,7 +57,7 @@
 export interface QuotaShares {
 	readonly type: QuotaMessageType.Shares;
 	readonly sender: QuotaSender;
-	/** Number of the batch that is acknowledged. */
+	/** Number of the batch that is acknowledged; 0 if none is, as the shares are told without a report. */
 	readonly sequence: number;
 	/** Whether the aggregator is too new to know the demand; earlier shares stay in force. */
 	readonly isLearning: boolean;
