--- a/src/quota/count-outbox.ts
+++ b/src/quota/count-outbox.ts
@@ -11,9 +11,16 @@
  */
 export class CountOutbox {
 	private readonly waiting = new Map<string, Counts>();
-	private sequence = 0;
 	private unacknowledged: QuotaBatch | undefined;
 
+	constructor(
+		/**
+		 * Number below that of the first batch. A receiver may still know the batches of an outbox that was dropped, so
+		 * the numbers of a later one have to be higher.
+		 */
+		private sequence = 0,
+	) {}
+
 	/** The batch that is on its way; undefined when none is. */
 	get inFlight(): QuotaBatch | undefined {
 		return this.unacknowledged;
--- a/src/quota/customer-bucket.ts
+++ b/src/quota/customer-bucket.ts
@@ -5,7 +5,7 @@
 import {RateMeter} from './rate-meter.js';
 
 /** Follows a demand that rises within a second, with little noise at tens of requests per second. */
-const demandDecay: Millis = 300;
+const demandDecay: Millis = 200;
 /** Time from the arrival of a request until nodes act on the news of it, on average over nodes and zones. */
 const newsDelay: Millis = 400;
 /** A customer without requests for this time is forgotten once its bucket is full. */
--- a/src/quota/far-filter.ts
+++ b/src/quota/far-filter.ts
@@ -6,8 +6,8 @@
 
 /** Share of the burst that all zones together may have used without telling the other regions. */
 const untoldBurstShare = 0.5;
-/** Least requests of a zone that are worth a message; a single one says nothing about the rate. */
-const minUntold = 2;
+/** Least requests of a zone that are worth a message; fewer say nothing about the rate. */
+const minUntold = 4;
 /** A customer stays above its fraction for this long after its use has fallen to the fraction. */
 const holdTime: Millis = 2 * second;
 
--- a/src/quota/peer-exchange.ts
+++ b/src/quota/peer-exchange.ts
@@ -12,7 +12,7 @@
 
 /** Sums exchanged with the aggregator of another zone. */
 export class PeerExchange {
-	readonly outbox = new CountOutbox();
+	readonly outbox: CountOutbox;
 	private readonly inbox = new CountInbox();
 	private isSending = false;
 	private isFinal = false;
@@ -22,6 +22,8 @@
 	private receivedAt: Millis = Number.NEGATIVE_INFINITY;
 
 	constructor(now: Millis) {
+		// An exchange sends less than one batch per ms, so that the numbers of a later exchange are higher.
+		this.outbox = new CountOutbox(Math.floor(now));
 		this.countedAt = now;
 		this.sentAt = now;
 	}
@@ -42,9 +44,10 @@
 
 	/**
 	 * @param now - monotonic time in ms.
+	 * @param period - least time between two new batches, in ms.
 	 * @returns the batch to send now; undefined if there is nothing to tell.
 	 */
-	batchToSend(now: Millis): QuotaBatch | undefined {
+	batchToSend(now: Millis, period: Millis): QuotaBatch | undefined {
 		const {outbox} = this;
 		if (outbox.inFlight) {
 			if (now - this.sentAt > expiryTime) {
@@ -57,7 +60,7 @@
 		}
 
 		const mayClose = this.isSending && now - this.countedAt > closeDelay;
-		if (!outbox.hasWaiting && !mayClose) {
+		if ((!outbox.hasWaiting && !mayClose) || now - this.sentAt < period) {
 			return undefined;
 		}
 
--- a/src/quota/quota-aggregator.ts
+++ b/src/quota/quota-aggregator.ts
@@ -38,9 +38,9 @@
 	readonly share: number;
 }
 
-/** Time between two sums for a peer, and while customers are over their limit. */
-const sumPeriod: Millis = 200;
-const limitedSumPeriod: Millis = 100;
+/** Time between two sums for a peer of the region, and for one of another region. */
+const sumPeriod: Millis = 100;
+const farSumPeriod: Millis = 200;
 /** A share that has fallen by this much since it was told is told to the zone at once. */
 const notableFall = 0.2;
 /** How long a new aggregator waits for the reports of most nodes before its shares count. */
@@ -240,7 +240,7 @@
 		}
 
 		this.isScheduled = true;
-		this.parts.clock.after(this.shares.length > 0 ? limitedSumPeriod : sumPeriod, () => {
+		this.parts.clock.after(sumPeriod, () => {
 			this.isScheduled = false;
 			this.sendSums();
 		});
@@ -251,7 +251,7 @@
 		const now = clock.now();
 		let isBusy = this.buckets.size > 0;
 		for (const [id, peer] of this.peers) {
-			const batch = peer.batchToSend(now);
+			const batch = peer.batchToSend(now, this.parts.members.isFar(id) ? farSumPeriod : 0);
 			if (batch) {
 				const {isLast} = peer;
 				this.parts.send(id, {type: QuotaMessageType.Sum, sender: self, batch, isLast});
