--- a/src/quota/count-inbox.ts
+++ b/src/quota/count-inbox.ts
@@ -8,14 +8,14 @@
 	/**
 	 * @param sender - the sending node.
 	 * @param batch - a batch that was received.
-	 * @returns the counts that were not received before; none for a repeated batch or an earlier process.
+	 * @returns its counts; undefined for a repeated or overtaken batch and for one of an earlier process.
 	 */
-	accept({incarnation}: QuotaSender, batch: QuotaBatch): readonly QuotaCount[] {
+	accept({incarnation}: QuotaSender, batch: QuotaBatch): readonly QuotaCount[] | undefined {
 		const isNewer =
 			incarnation > this.incarnation ||
 			(incarnation === this.incarnation && batch.sequence > this.sequence);
 		if (!isNewer) {
-			return [];
+			return undefined;
 		}
 
 		this.incarnation = incarnation;
--- a/src/quota/far-filter.ts
+++ b/src/quota/far-filter.ts
@@ -5,7 +5,7 @@
 type Use = {level: number; at: Millis; isAbove: boolean};
 
 /** Share of the burst that all zones together may have used without telling the other regions. */
-const untoldBurstShare = 0.5;
+const untoldBurstShare = 0.25;
 /** Least requests of a zone that are worth a message; fewer say nothing about the rate. */
 const minUntold = 4;
 /** A customer stays above its fraction for this long after its use has fallen to the fraction. */
--- a/src/quota/peer-exchange.ts
+++ b/src/quota/peer-exchange.ts
@@ -81,9 +81,14 @@
 	 * @returns the counts that were not received before.
 	 */
 	receive(sum: QuotaSum, now: Millis): readonly QuotaCount[] {
-		this.receivedAt = now;
-		this.isReceiving = !sum.isLast;
-		return this.inbox.accept(sum.sender, sum.batch);
+		const counts = this.inbox.accept(sum.sender, sum.batch);
+		// An older sum that arrives late says nothing of whether more will follow.
+		if (counts) {
+			this.receivedAt = now;
+			this.isReceiving = !sum.isLast;
+		}
+
+		return counts ?? [];
 	}
 
 	/**
--- a/src/quota/quota-aggregator.ts
+++ b/src/quota/quota-aggregator.ts
@@ -130,11 +130,12 @@
 		const reporter = this.reporters.get(sender.id) ?? createReporter(now);
 		this.reporters.set(sender.id, reporter);
 		reporter.at = now;
-		if (batch.counts.length === 0) {
+		const counts = reporter.inbox.accept(sender, batch);
+		if (counts?.length === 0) {
 			reporter.activity = new RateMeter(activityDecay);
 		}
 
-		for (const count of reporter.inbox.accept(sender, batch)) {
+		for (const count of counts ?? []) {
 			reporter.activity.add(count.requested, now);
 			this.addOwn(count, now);
 		}
