--- a/bench/quota.ts
+++ b/bench/quota.ts
@@ -6,7 +6,7 @@
 const seeds = Number(process.argv[3] ?? 1);
 for (const scenario of scenarios.filter(({name}) => name.includes(filter))) {
 	for (let seed = 1; seed <= seeds; seed++) {
-		const r = await play(scenario, seed); // eslint-disable-line no-await-in-loop
+		const r = await play(scenario, seed);
 		process.stdout.write(
 			`${scenario.name.padEnd(52)} ${seed} requests ${r.requests} run ${r.run} ` +
 				`worst ${r.worst.toFixed(3)} ${r.worstCustomer}@${Math.round(r.worstAt)} loss ${(r.loss * 100).toFixed(2)} % ` +
--- a/bench/quota/quota-model.ts
+++ b/bench/quota/quota-model.ts
@@ -406,5 +406,6 @@
 			}
 		}
 	};
+
 	return gate;
 }
--- a/bench/quota/scenarios.ts
+++ b/bench/quota/scenarios.ts
@@ -70,7 +70,7 @@
 	}
 
 	return () => {
-		const [id] = [...received].sort((a, b) => b[1] - a[1])[0]!;
+		const [id] = [...received].toSorted((a, b) => b[1] - a[1])[0]!;
 		return model.nodes.find((node) => node.id === id)!;
 	};
 }
--- a/src/datagram/gossip-socket.ts
+++ b/src/datagram/gossip-socket.ts
@@ -1,6 +1,7 @@
 import {createHmac, createSecretKey, timingSafeEqual, type KeyObject} from 'node:crypto';
 import {createSocket, type Socket} from 'node:dgram';
 import {decodeGossip, encodeGossip, type GossipMessage} from '../membership/index.js';
+import {decodeQuota, encodeQuota, isQuotaDatagram, type QuotaMessage} from '../quota/index.js';
 import {parseEndpoint} from '../settings/index.js';
 import {bindPort} from '../net/index.js';
 
@@ -15,6 +16,8 @@
 export interface GossipSocketOwner {
 	readonly secret: string;
 	onMessage(message: GossipMessage): void;
+	/** Called for messages about quotas of customers, which share the socket. */
+	onQuotaMessage(message: QuotaMessage): void;
 	onReject(reason: DatagramReject): void;
 	/**
 	 * @param to - id of the receiver.
@@ -68,23 +71,34 @@
 	 * @param message - the message.
 	 */
 	send(to: string, message: GossipMessage): void {
+		this.sendBody(to, encodeGossip(message));
+	}
+
+	/**
+	 * @param to - id of the receiver, which is its address.
+	 * @param message - the message.
+	 */
+	sendQuota(to: string, message: QuotaMessage): void {
+		this.sendBody(to, encodeQuota(message));
+	}
+
+	/** Closes the socket. */
+	close(): void {
+		this.socket.close();
+	}
+
+	private sendBody(to: string, body: Uint8Array): void {
 		const endpoint = parseEndpoint(to);
 		if (!endpoint) {
 			return;
 		}
 
-		const body = encodeGossip(message);
 		const tag = this.computeTag(body);
 		const length = tag.length + body.length;
 		this.socket.send([tag, body], endpoint.port, endpoint.address, () => undefined);
 		this.owner.onSent(to, length + headerBytes);
 	}
 
-	/** Closes the socket. */
-	close(): void {
-		this.socket.close();
-	}
-
 	private receive(datagram: Uint8Array): void {
 		if (datagram.length <= tagBytes) {
 			this.owner.onReject(DatagramReject.TooShort);
@@ -97,15 +111,29 @@
 			return;
 		}
 
-		let message: GossipMessage;
+		let deliver: () => void;
 		try {
-			message = decodeGossip(body);
+			deliver = this.decode(body);
 		} catch {
 			this.owner.onReject(DatagramReject.BadMessage);
 			return;
 		}
 
-		this.owner.onMessage(message);
+		deliver();
+	}
+
+	private decode(body: Uint8Array): () => void {
+		if (isQuotaDatagram(body)) {
+			const message = decodeQuota(body);
+			return () => {
+				this.owner.onQuotaMessage(message);
+			};
+		}
+
+		const message = decodeGossip(body);
+		return () => {
+			this.owner.onMessage(message);
+		};
 	}
 
 	private computeTag(body: Uint8Array): Uint8Array {
--- a/src/ingress/caller-protocol.ts
+++ b/src/ingress/caller-protocol.ts
@@ -56,7 +56,11 @@
 export class RefusedRequestError extends Error {
 	override name = 'RefusedRequestError';
 
-	constructor(readonly reason: RefusalReason) {
+	constructor(
+		readonly reason: RefusalReason,
+		/** When to send the request again, in ms from now; undefined for the usual time of the reason. */
+		readonly retryAfter?: Millis,
+	) {
 		super(reason);
 	}
 }
--- a/src/ingress/index.ts
+++ b/src/ingress/index.ts
@@ -1,4 +1,5 @@
 export type {BudgetBursts} from './call-budgets.js';
+export type {CallQuota, CallQuotaVerdict} from './call-quota.js';
 export {CallRunner, type CallRunnerDependencies} from './call-runner.js';
 export {
 	RefusedRequestError,
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -28,6 +28,7 @@
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 import {bindPort} from '../net/index.js';
 import {withResolvers} from '../util/index.js';
+import type {CallQuota} from './call-quota.js';
 import {
 	RefusedRequestError,
 	type CallerProtocol,
@@ -44,6 +45,8 @@
 	readonly protocol: CallerProtocol;
 	/** Undefined if idempotency keys are not supported. */
 	readonly keyedCalls: KeyedCalls | undefined;
+	/** Undefined if customers have no limits over all nodes. */
+	readonly quota?: CallQuota;
 	/** @returns the configuration in force; undefined while the node is not ready. */
 	configuration(): DeclarationIndex | undefined;
 	/** Runs a call that has no idempotency key or is idempotent. */
@@ -158,6 +161,10 @@
 		checkHead(req);
 		const call = await this.createCall(req, res, index);
 		const end = await this.run(call);
+		if (end.result.end === AttemptEnd.Refused) {
+			this.deps.quota?.giveBack(call.head.customer);
+		}
+
 		return this.sendEnd(res, call, end);
 	}
 
@@ -187,7 +194,7 @@
 		const startedAt = this.deps.clock.now();
 		const parameters = this.deps.protocol.readParameters(req, index);
 		this.checkLength(req, index);
-		const body = await readRequestBody(req);
+		const body = await this.readAdmittedBody(req, parameters.policy.customer);
 		const head = createHead(req, parameters, body);
 		const cancellation = new Cancellation();
 		// A call with an idempotency key continues when its caller disconnects, since the caller is expected
@@ -214,6 +221,21 @@
 		};
 	}
 
+	private async readAdmittedBody(req: IncomingMessage, customer: string): Promise<Body> {
+		const {quota} = this.deps;
+		const verdict = await quota?.admit(customer);
+		if (verdict && !verdict.isAdmitted) {
+			throw new RefusedRequestError(RefusalReason.QuotaExceeded, verdict.wait);
+		}
+
+		try {
+			return await readRequestBody(req);
+		} catch (err) {
+			quota?.giveBack(customer);
+			throw err;
+		}
+	}
+
 	private checkLength(req: IncomingMessage, index: DeclarationIndex): void {
 		const limit = index.declaration.callerLimits?.maxBodyBytes;
 		if (limit !== undefined && Number(req.headers['content-length'] ?? 0) > limit) {
@@ -324,7 +346,8 @@
 				reason,
 				revision: this.deps.configuration()?.revision,
 			});
-			return this.sendRefusal(res, {reason, retryAfter: refusals[reason].retryAfter});
+			const retryAfter = err.retryAfter ?? refusals[reason].retryAfter;
+			return this.sendRefusal(res, {reason, retryAfter});
 		}
 
 		logger.log(logEvents.unexpectedError, {error: String(err)});
--- a/src/ingress/request-body.ts
+++ b/src/ingress/request-body.ts
@@ -21,6 +21,11 @@
  * @throws {@link RequestBodyError} when the connection closes before the end of a buffered body.
  */
 export async function readRequestBody(req: IncomingMessage): Promise<Body> {
+	// Nothing reports the end of a connection that has closed before the body is read.
+	if (req.destroyed) {
+		throw new RequestBodyError('connection closed before the request body was read');
+	}
+
 	const length = req.headers['content-length'];
 	const hasBody = length !== undefined || req.headers['transfer-encoding'] !== undefined;
 	if (!hasBody || length === '0') {
--- a/src/quota/quota-gate.ts
+++ b/src/quota/quota-gate.ts
@@ -71,6 +71,8 @@
 /** Counts that were not acknowledged for so long are outside of every window. */
 const maxCountAge: Millis = 10 * second;
 const idleTime: Millis = 10 * second;
+/** Callers that return sooner meet the same share. */
+const minWait: Millis = 100;
 const useDecay: Millis = 2 * second;
 
 type CustomerState = {
@@ -262,7 +264,7 @@
 		state.part = undefined;
 		state.credit += this.shareOf(customer, limit);
 		if (state.credit < 1) {
-			const wait = this.shares.get(customer)?.wait ?? 0;
+			const wait = Math.max(minWait, this.shares.get(customer)?.wait ?? 0);
 			return {isAdmitted: false, basis: QuotaBasis.Shares, wait};
 		}
 
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -8,6 +8,7 @@
 	type Finding,
 } from '../ini/index.js';
 import {Mechanism, type DisabledMechanisms} from '../experiment/index.js';
+import {defaultQuotaSettings, type QuotaSettings} from '../quota/index.js';
 import {LogFormat, LogLevel} from '../telemetry/index.js';
 import {parseEndpoint, type Endpoint} from './endpoint.js';
 
@@ -52,6 +53,8 @@
 	readonly backend: BackendSettings;
 	readonly ways: TransferCostSettings;
 	readonly budgets: BudgetSettings;
+	/** Tolerance of the operators' count of a customer's requests over all nodes. */
+	readonly quota: QuotaSettings;
 	readonly region: string;
 	readonly zone: string;
 	readonly seeds: readonly Endpoint[];
@@ -76,6 +79,7 @@
 	'backend',
 	'ways',
 	'budgets',
+	'quota',
 	'experiment',
 ]);
 const maxPort = 65_535;
@@ -134,6 +138,15 @@
 	};
 }
 
+function readQuota(reader: SectionReader): QuotaSettings {
+	const {window, overage, slack} = defaultQuotaSettings;
+	return {
+		window: reader.duration('window', {min: second, max: 60 * second, fallback: window}),
+		overage: reader.number('overage', {min: 0, max: 1, fallback: overage}),
+		slack: reader.number('slack', {min: 0, max: 1_000_000, fallback: slack}),
+	};
+}
+
 function readDisabled(reader: SectionReader): DisabledMechanisms {
 	const mechanisms = new Map<string, Mechanism>(
 		Object.values(Mechanism).map((value) => [value, value]),
@@ -175,6 +188,7 @@
 	const backend = new SectionReader(document, 'backend', findings);
 	const ways = new SectionReader(document, 'ways', findings);
 	const budgets = new SectionReader(document, 'budgets', findings);
+	const quota = new SectionReader(document, 'quota', findings);
 	const experiment = new SectionReader(document, 'experiment', findings);
 	const port = (key: string, fallback: number) =>
 		node.integer(key, {min: 1, max: maxPort, fallback});
@@ -195,6 +209,7 @@
 		backend: readBackend(backend),
 		ways: readTransferCosts(ways),
 		budgets: readBudgets(budgets),
+		quota: readQuota(quota),
 		region: node.text('region'),
 		zone: node.text('zone'),
 		stopTimeout: node.duration('stop-timeout', {
@@ -211,7 +226,7 @@
 		logForm: log.choice('form', Object.values(LogFormat), LogFormat.Json),
 		logLevel: log.choice('level', Object.values(LogLevel), LogLevel.Info),
 	};
-	for (const reader of [node, peers, store, log, backend, ways, budgets, experiment]) {
+	for (const reader of [node, peers, store, log, backend, ways, budgets, quota, experiment]) {
 		reader.reportUnknownKeys();
 	}
 
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -200,6 +200,43 @@
 		warn,
 		'Log lines were dropped to limit the volume.',
 	),
+	quotaNewsLost: event(
+		900,
+		'quota-news-lost',
+		warn,
+		'No aggregator answers; the node uses its own part of the quotas.',
+	),
+	quotaNewsRegained: event(901, 'quota-news-regained', info, 'An aggregator answers again.'),
+	quotaCustomerLimited: event(
+		902,
+		'quota-customer-limited',
+		info,
+		'A customer is over its quota; a share of its requests is refused.',
+	),
+	quotaCustomerFreed: event(
+		903,
+		'quota-customer-freed',
+		info,
+		'No request of a customer is refused for its quota any more.',
+	),
+	quotaAggregatorChanged: event(
+		904,
+		'quota-aggregator-changed',
+		info,
+		'The node reports to another aggregator of its zone.',
+	),
+	quotaAggregatorStarted: event(
+		905,
+		'quota-aggregator-started',
+		info,
+		'This node takes over as an aggregator, with empty buckets.',
+	),
+	quotaReachChanged: event(
+		906,
+		'quota-reach-changed',
+		info,
+		'Another part of the quotas is set aside for nodes that are out of reach.',
+	),
 	requestHeld: event(
 		700,
 		'request-held',
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -111,6 +111,32 @@
 		registers: [this.registry],
 	});
 
+	readonly quotaDecisions = new Counter({
+		name: 'turmeric_quota_decisions_total',
+		help: 'Requests of customers with a quota, by decision and what it was based on.',
+		labelNames: ['decision', 'basis'],
+		registers: [this.registry],
+	});
+
+	readonly quotaMessages = new Counter({
+		name: 'turmeric_quota_messages_total',
+		help: 'Messages about quotas sent to other nodes, by kind.',
+		labelNames: ['kind'],
+		registers: [this.registry],
+	});
+
+	readonly quotaLimitedCustomers = new Gauge({
+		name: 'turmeric_quota_limited_customers',
+		help: 'Customers over their quota, as this node knows from its aggregator.',
+		registers: [this.registry],
+	});
+
+	readonly quotaReach = new Gauge({
+		name: 'turmeric_quota_reach',
+		help: 'Part of the quotas that is not set aside for nodes out of reach, as the aggregator told.',
+		registers: [this.registry],
+	});
+
 	readonly inFlight = new Gauge({
 		name: 'turmeric_calls_in_flight',
 		help: 'Calls that this ingress has not answered yet.',
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -21,6 +21,7 @@
 import {LinkBudgets} from '../node/link-budgets.js';
 import {NodeEvent, nodeMachine, NodeState} from '../node/node-lifecycle.js';
 import {PauseDetector} from '../node/pause-detector.js';
+import type {QuotaMessage} from '../quota/index.js';
 import {createRandom, type Random} from '../random/index.js';
 import type {Placement} from '../routing/index.js';
 import {formatEndpoint, type NodeSettings} from '../settings/index.js';
@@ -49,6 +50,8 @@
 	handleKnownRevisions(known: KnownRevisions, from: string): void;
 	handleHeldRevision(held: HeldRevision): void;
 	handleRumor(rumor: Rumor): void;
+	/** Handles a message about the quotas of customers; absent where there are none. */
+	handleQuotaMessage?(message: QuotaMessage): void;
 }
 
 /** Random part of an incarnation, so that two starts in the same millisecond rarely coincide. */
@@ -153,6 +156,14 @@
 		});
 	}
 
+	/**
+	 * @param to - id of the receiver.
+	 * @param message - a message about the quotas of customers.
+	 */
+	sendQuotaMessage(to: string, message: QuotaMessage): void {
+		this.socket.sendQuota(to, message);
+	}
+
 	/** Moves the node to the ready state, once it has a configuration and a membership. */
 	markReady(): void {
 		this.lifecycle.send({type: NodeEvent.Synchronized});
@@ -205,6 +216,9 @@
 				this.gossip.receive(message);
 				this.checkGossipLater();
 			},
+			onQuotaMessage: (message) => {
+				this.hooks.handleQuotaMessage?.(message);
+			},
 			onReject: (reason) => {
 				this.metrics.gossipRejects.inc({reason});
 				this.logger.log(logEvents.datagramRejected, {reason});
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -21,6 +21,7 @@
 import {BackendFinder} from '../node/backend-finder.js';
 import {BackendProbe, type ProbeRate} from '../node/backend-probe.js';
 import {LoadBroadcaster} from '../node/load-broadcaster.js';
+import {QuotaAgent} from '../node/quota-agent.js';
 import {NodeEvent, NodeState} from '../node/node-lifecycle.js';
 import {OperatorServer, textReply} from '../operations/index.js';
 import {ObjectivePlacement} from '../routing/index.js';
@@ -97,6 +98,8 @@
 export class RoutedNode {
 	readonly core: NodeCore;
 	readonly keyedCalls = undefined;
+	/** Quotas of the customers over all nodes. */
+	readonly quotas: QuotaAgent;
 	private placement: ObjectivePlacement | undefined;
 	private readonly store: RoutedStore;
 	private readonly feed: ConfigurationFeed;
@@ -133,6 +136,18 @@
 			isFirstStart,
 			backend: {service},
 		} = settings;
+		this.quotas = new QuotaAgent({
+			clock,
+			random,
+			logger,
+			metrics,
+			gossip,
+			revisions,
+			settings: settings.quota,
+			send: (to, message) => {
+				this.core.sendQuotaMessage(to, message);
+			},
+		});
 		this.roster = new Roster({clock, random, logger, gossip, store, service, isFirstStart});
 		this.feed = new ConfigurationFeed({
 			clock,
@@ -160,6 +175,7 @@
 			logger,
 			protocol: adapters.createCallerProtocol((id) => executor.isRunningParentOf(id)),
 			keyedCalls: undefined,
+			quota: this.quotas,
 			configuration: () => (this.core.isAcceptingCalls ? revisions.inForce : undefined),
 			runCall: async (call) => runner.run(call),
 		});
@@ -279,6 +295,9 @@
 			},
 			handleHeldRevision: () => undefined,
 			handleRumor: () => undefined,
+			handleQuotaMessage: (message) => {
+				this.quotas.handleMessage(message);
+			},
 			peerLoad: (id, load) => {
 				this.placement?.recordLoad(id, load);
 				this.core.runner.reconsiderHedges(id);
