--- a/src/quota/peer-exchange.ts
+++ b/src/quota/peer-exchange.ts
@@ -4,9 +4,12 @@
 import type {QuotaBatch, QuotaCount, QuotaSum} from './quota-message.js';
 
 /** Time without counts after which a final, empty sum ends the exchange. */
-const closeDelay: Millis = 200;
-/** Silence of a peer that has not ended its exchange, after which its zone counts as unreachable. */
-const silenceTime: Millis = 600;
+const closeDelay: Millis = 150;
+/**
+ * Silence of a peer that has not ended its exchange, after which its zone counts as unreachable. Sums follow each other
+ * after 400 ms at most, while regions that are cut off from each other exceed the limit until they notice.
+ */
+const silenceTime: Millis = 450;
 /** Age from which failure detection tells more than the silence; also of counts that no longer matter. */
 const expiryTime: Millis = 5 * second;
 
--- a/src/quota/quota-aggregator.ts
+++ b/src/quota/quota-aggregator.ts
@@ -51,7 +51,7 @@
 const unusedTime: Millis = second;
 /** Shares and the unreachable part are computed at most this often, as every node asks for them. */
 const shareAge: Millis = 20;
-const reachAge: Millis = 100;
+const reachAge: Millis = 50;
 /** A node is silent when this many requests were expected from it, and at least this time has passed. */
 const missedRequests = 6;
 const minSilence: Millis = 450;
--- a/src/quota/quota-limit.ts
+++ b/src/quota/quota-limit.ts
@@ -25,7 +25,7 @@
  * and of the nodes' decisions from refusing requests within the limit. The rest covers requests that run before the
  * news of a higher demand has arrived.
  */
-const overdraftShare = 0.2;
+const overdraftShare = 0.15;
 
 /**
  * @param limit - limit of a customer.
