--- a/src/quota/own-part.ts
+++ b/src/quota/own-part.ts
@@ -3,9 +3,9 @@
 import {overdraftOf, type CustomerLimit, type QuotaSettings} from './quota-limit.js';
 
 /**
- * Part of a customer's limit that a node uses without news from an aggregator. Less than a whole token is spent at
- * once and admits a request with that probability, so that all nodes together keep to the limit on average, however
- * often they are asked.
+ * Part of a customer's limit that a node uses without news from an aggregator. If the part never holds a whole token,
+ * what it holds is spent at once and admits a request with that probability. All nodes together then keep to the limit
+ * on average, however often they are asked.
  */
 export class OwnPart {
 	private bucket: DebtBucket | undefined;
@@ -26,6 +26,11 @@
 	admit(limit: CustomerLimit, nodes: number, draw: number, now: Millis): boolean {
 		const bucket = this.advance(limit, nodes, now);
 		const {level} = bucket;
+		const isFraction = this.partOf(limit, nodes).burst < 1;
+		if (!isFraction && level < 1) {
+			return false;
+		}
+
 		bucket.charge(Math.min(1, level));
 		return draw < level;
 	}
@@ -47,11 +52,13 @@
 		this.bucket?.charge(-1);
 	}
 
+	private partOf(limit: CustomerLimit, nodes: number): CustomerLimit {
+		const burst = limit.burst + overdraftOf(limit, this.settings);
+		return {rate: limit.rate / nodes, burst: burst / nodes};
+	}
+
 	private advance(limit: CustomerLimit, nodes: number, now: Millis): DebtBucket {
-		const part = {
-			rate: limit.rate / nodes,
-			burst: (limit.burst + overdraftOf(limit, this.settings)) / nodes,
-		};
+		const part = this.partOf(limit, nodes);
 		this.bucket ??= new DebtBucket(this.isFull ? part.burst : 0, now);
 		this.bucket.advance(now, part);
 		return this.bucket;
--- a/src/settings/__tests__/unit/node-settings.test.ts
+++ b/src/settings/__tests__/unit/node-settings.test.ts
@@ -28,4 +28,15 @@
 		expect(parse).toThrow(FindingsError);
 		expect(parse).toThrow(/node\.ini:8.*"constructor" is not known/v);
 	});
+
+	it('takes the tolerance of the quotas, which deployments without the feature leave out', () => {
+		const {quota} = parseNodeSettings('node.ini', required);
+		expect(quota).toEqual({window: 5000, overage: 0.1, slack: 20});
+		const text = `${required}[quota]\nwindow = 4 s\noverage = 0.2\nslack = 7\n`;
+		expect(parseNodeSettings('node.ini', text).quota).toEqual({
+			window: 4000,
+			overage: 0.2,
+			slack: 7,
+		});
+	});
 });
