--- a/src/quota/quota-aggregator.ts
+++ b/src/quota/quota-aggregator.ts
@@ -52,6 +52,8 @@
 /** Shares and the unreachable part are computed at most this often, as every node asks for them. */
 const shareAge: Millis = 20;
 const reachAge: Millis = 50;
+/** Smaller changes of the reach are not logged. */
+const notableReach = 0.05;
 /** A node is silent when this many requests were expected from it, and at least this time has passed. */
 const missedRequests = 6;
 const minSilence: Millis = 450;
@@ -78,6 +80,7 @@
 	private toldShares: ReadonlyMap<string, number> = new Map();
 	private sharesAt: Millis = Number.NEGATIVE_INFINITY;
 	private reach = 1;
+	private notedReach = 1;
 	private reachAt: Millis = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly parts: QuotaParts) {
@@ -382,7 +385,8 @@
 
 		apart.delete(this.parts.self.id);
 		const reach = Math.max(1, members.size - apart.size) / members.size;
-		if (reach !== this.reach) {
+		if (Math.abs(reach - this.notedReach) >= notableReach || (reach === 1) !== (this.reach === 1)) {
+			this.notedReach = reach;
 			observer.reachChanged(reach);
 		}
 
--- a/src/quota/quota-gate.ts
+++ b/src/quota/quota-gate.ts
@@ -53,11 +53,14 @@
 const maxNewsAge: Millis = second;
 /** Time without an answer to a report after which the share of a limited customer is not used either. */
 const maxShareSilence: Millis = 500;
-/** How long a request waits for the answer of the aggregator when the news is too old. */
-const askTimeout: Millis = 50;
-const askAgainDelay: Millis = 20;
+/**
+ * How long a request waits for the answer of the aggregator when the news is too old. Longer than the pauses of nodes
+ * with a quarter of a core, and below an eighth of the usual latency objectives.
+ */
+const askTimeout: Millis = 80;
+const askAgainDelay: Millis = 25;
 /** A report without an answer is sent again after this time, and to the next candidate after some attempts. */
-const answerTimeout: Millis = 80;
+const answerTimeout: Millis = 100;
 const maxAttempts = 4;
 /** Requests that an aggregator may expect before a final, empty report tells that there are none. */
 const expectedRequests = 3;
