--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -30,6 +30,7 @@
 import {logEvents, PipelineHandling, type Logger, type Metrics} from '../telemetry/index.js';
 import {bindPort} from '../net/index.js';
 import {withResolvers} from '../util/index.js';
+import type {CallQuota} from './call-quota.js';
 import {CallerConnection, ConnectionClosedError, type CallerTurn} from './caller-connection.js';
 import {
 	RefusedRequestError,
@@ -55,6 +56,8 @@
 	/** Undefined if idempotency keys are not supported. */
 	readonly keyedCalls: KeyedCalls | undefined;
 	readonly revisions: Pick<RevisionTracker, 'isBehind' | 'registerListener'>;
+	/** Undefined if customers have no limits over all nodes. */
+	readonly quota?: CallQuota;
 	/** @returns the configuration in force; undefined while the node is not ready. */
 	configuration(): DeclarationIndex | undefined;
 	/** Runs a call that has no idempotency key or is idempotent. */
@@ -238,7 +241,11 @@
 		const {stream} = call.body;
 		const upload = stream instanceof UploadBody ? stream : undefined;
 		try {
-			const end = (upload && (await this.receive(upload, call))) ?? (await this.run(call));
+			const end = (upload && (await this.receiveAdmitted(upload, call))) ?? (await this.run(call));
+			if (end.result.end === AttemptEnd.Refused) {
+				this.deps.quota?.giveBack(call.head.customer);
+			}
+
 			return await this.sendEnd(turn, call, end);
 		} finally {
 			upload?.destroy();
@@ -254,6 +261,15 @@
 		return index;
 	}
 
+	private async receiveAdmitted(upload: UploadBody, call: Call): Promise<CallEnd | undefined> {
+		try {
+			return await this.receive(upload, call);
+		} catch (err) {
+			this.deps.quota?.giveBack(call.head.customer);
+			throw err;
+		}
+	}
+
 	// Until enough of the body has arrived, the call needs no executor.
 	private async receive(upload: UploadBody, call: Call): Promise<CallEnd | undefined> {
 		const end = await this.deps.refuseAhead?.(call);
@@ -329,7 +345,7 @@
 		}
 
 		this.customers.enter(turn.res, parameters, this.calls.size);
-		const body = await this.readBody(req, turn.res, parameters, index);
+		const body = await this.readAdmittedBody(req, turn.res, parameters, index);
 		const head = createHead(req, parameters, body);
 		const cancellation = new Cancellation();
 		// A call with an idempotency key continues when its caller disconnects, since the caller is expected
@@ -392,6 +408,33 @@
 		});
 	}
 
+	// A customer's request is counted before its body is read, once for all its attempts.
+	private async readAdmittedBody(
+		req: IncomingMessage,
+		res: ServerResponse,
+		parameters: CallParameters,
+		index: DeclarationIndex,
+	): Promise<Body> {
+		const {customer} = parameters.policy;
+		const {quota} = this.deps;
+		const verdict = await quota?.admit(customer);
+		if (verdict && !verdict.isAdmitted) {
+			throw new RefusedRequestError(RefusalReason.QuotaExceeded, verdict.wait);
+		}
+
+		try {
+			// Nothing reports the end of a connection that has closed before the body is read.
+			if (req.destroyed) {
+				throw new RequestBodyError('connection closed before the request body was read');
+			}
+
+			return await this.readBody(req, res, parameters, index);
+		} catch (err) {
+			quota?.giveBack(customer);
+			throw err;
+		}
+	}
+
 	private checkLength(req: IncomingMessage, index: DeclarationIndex): void {
 		const limit = index.declaration.callerLimits?.maxBodyBytes;
 		if (limit !== undefined && Number(req.headers['content-length'] ?? 0) > limit) {
@@ -554,7 +597,8 @@
 				reason,
 				revision: this.deps.configuration()?.revision,
 			});
-			return this.sendRefusal(turn, {reason, retryAfter: refusals[reason].retryAfter});
+			const retryAfter = err.retryAfter ?? refusals[reason].retryAfter;
+			return this.sendRefusal(turn, {reason, retryAfter});
 		}
 
 		logger.log(logEvents.unexpectedError, {error: String(err)});
--- a/src/link/__tests__/unit/peer-session.test.ts
+++ b/src/link/__tests__/unit/peer-session.test.ts
@@ -26,6 +26,7 @@
 		runnerFor: () => ({run: async () => createUnknown(RefusalReason.Canceled)}),
 		queryAndFence: () => AttemptState.Fenced,
 		getContent: () => ({content: undefined, delta: undefined}),
+		deflate: () => undefined,
 		acceptHandover: () => undefined,
 		peerLeaving: () => undefined,
 		peerLoadReported: () => undefined,
--- a/src/settings/__tests__/unit/node-settings.test.ts
+++ b/src/settings/__tests__/unit/node-settings.test.ts
@@ -46,4 +46,15 @@
 		expect(read('link-mbps =')).toBeUndefined();
 		expect(read('link-mbps = 7.5')).toBe(7.5);
 	});
+
+	it('takes the tolerance of the quotas, which deployments without the feature leave out', () => {
+		const {quota} = parseNodeSettings('node.ini', required);
+		expect(quota).toEqual({window: 5000, overage: 0.1, slack: 20});
+		const text = `${required}[quota]\nwindow = 4 s\noverage = 0.2\nslack = 7\n`;
+		expect(parseNodeSettings('node.ini', text).quota).toEqual({
+			window: 4000,
+			overage: 0.2,
+			slack: 7,
+		});
+	});
 });
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -8,6 +8,7 @@
 	type Finding,
 } from '../ini/index.js';
 import {Mechanism, type DisabledMechanisms} from '../experiment/index.js';
+import {defaultQuotaSettings, type QuotaSettings} from '../quota/index.js';
 import {LogFormat, LogLevel} from '../telemetry/index.js';
 import {parseEndpoint, type Endpoint} from './endpoint.js';
 
@@ -64,6 +65,8 @@
 	readonly cold: ColdSettings | undefined;
 	/** Bandwidth of the link of the VM, in Mbit/s; undefined if unknown. */
 	readonly linkRate: number | undefined;
+	/** Tolerance of the operators' count of a customer's requests over all nodes. */
+	readonly quota: QuotaSettings;
 	readonly region: string;
 	readonly zone: string;
 	readonly seeds: readonly Endpoint[];
@@ -89,6 +92,7 @@
 	'ways',
 	'budgets',
 	'cold',
+	'quota',
 	'experiment',
 ]);
 const maxPort = 65_535;
@@ -154,6 +158,15 @@
 	return overage === undefined || slack === undefined ? undefined : {overage, slack};
 }
 
+function readQuota(reader: SectionReader): QuotaSettings {
+	const {window, overage, slack} = defaultQuotaSettings;
+	return {
+		window: reader.duration('window', {min: second, max: 60 * second, fallback: window}),
+		overage: reader.number('overage', {min: 0, max: 1, fallback: overage}),
+		slack: reader.number('slack', {min: 0, max: 1_000_000, fallback: slack}),
+	};
+}
+
 function readDisabled(reader: SectionReader): DisabledMechanisms {
 	const mechanisms = new Map<string, Mechanism>(
 		Object.values(Mechanism).map((value) => [value, value]),
@@ -196,6 +209,7 @@
 	const ways = new SectionReader(document, 'ways', findings);
 	const budgets = new SectionReader(document, 'budgets', findings);
 	const cold = new SectionReader(document, 'cold', findings);
+	const quota = new SectionReader(document, 'quota', findings);
 	const experiment = new SectionReader(document, 'experiment', findings);
 	const port = (key: string, fallback: number) =>
 		node.integer(key, {min: 1, max: maxPort, fallback});
@@ -218,6 +232,7 @@
 		budgets: readBudgets(budgets),
 		cold: readCold(cold),
 		linkRate: node.optionalNumber('link-mbps', {min: 0.1, max: 1_000_000}),
+		quota: readQuota(quota),
 		region: node.text('region'),
 		zone: node.text('zone'),
 		stopTimeout: node.duration('stop-timeout', {
@@ -234,7 +249,7 @@
 		logForm: log.choice('form', Object.values(LogFormat), LogFormat.Json),
 		logLevel: log.choice('level', Object.values(LogLevel), LogLevel.Info),
 	};
-	for (const reader of [node, peers, store, log, backend, ways, budgets, cold, experiment]) {
+	for (const reader of [node, peers, store, log, backend, ways, budgets, cold, quota, experiment]) {
 		reader.reportUnknownKeys();
 	}
 
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -27,6 +27,7 @@
 import {BackendFinder} from '../node/backend-finder.js';
 import {BackendProbe, type ProbeRate} from '../node/backend-probe.js';
 import {LoadBroadcaster} from '../node/load-broadcaster.js';
+import {QuotaAgent} from '../node/quota-agent.js';
 import {NodeEvent, NodeState} from '../node/node-lifecycle.js';
 import {OperatorServer, textReply} from '../operations/index.js';
 import {ObjectivePlacement} from '../routing/index.js';
@@ -108,6 +109,8 @@
 export class RoutedNode {
 	readonly core: NodeCore;
 	readonly keyedCalls = undefined;
+	/** Quotas of the customers over all nodes. */
+	readonly quotas: QuotaAgent;
 	private placement: ObjectivePlacement | undefined;
 	private readonly store: RoutedStore;
 	private readonly feed: ConfigurationFeed;
@@ -144,6 +147,18 @@
 			isFirstStart,
 			backend: {service},
 		} = settings;
+		this.quotas = new QuotaAgent({
+			clock,
+			random,
+			logger,
+			metrics,
+			gossip,
+			revisions,
+			settings: settings.quota,
+			send: (to, message) => {
+				this.core.sendQuotaMessage(to, message);
+			},
+		});
 		this.roster = new Roster({clock, random, logger, gossip, store, service, isFirstStart});
 		this.feed = new ConfigurationFeed({
 			clock,
@@ -176,6 +191,7 @@
 				(id) => this.core.placeCheck.regionsOfParent(id),
 			),
 			keyedCalls: undefined,
+			quota: this.quotas,
 			configuration: () => (this.core.isAcceptingCalls ? revisions.inForce : undefined),
 			runCall: async (call) => runner.run(call),
 			refuseAhead: async (call) => runner.refuseAhead(call),
@@ -309,6 +325,9 @@
 			},
 			handleHeldRevision: () => undefined,
 			handleRumor: () => undefined,
+			handleQuotaMessage: (message) => {
+				this.quotas.handleMessage(message);
+			},
 			peerLoad: (id, load) => {
 				this.placement?.recordLoad(id, load);
 				this.core.runner.reconsiderHedges(id);
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -64,7 +64,7 @@
 	{
 		// The core knows nothing of its hosts.
 		files: [
-			'src/{call,backend,routing,membership,declaration,evacuation,budget,clock,random}/**/*.ts',
+			'src/{call,backend,routing,membership,declaration,evacuation,budget,quota,clock,random}/**/*.ts',
 		],
 		rules: {
 			'no-restricted-imports': [
