Keep budgets and waiting calls of the native program as they were

Change: budgets tell customers apart only where the configuration declares them with keys; calls whose objective is their deadline are not refused early.

--- a/src/backend/overtaken-calls.ts
+++ b/src/backend/overtaken-calls.ts
@@ -21,7 +21,8 @@
 	 * @param now - monotonic time in ms.
 	 */
 	add(call: OrderedCall, now: Millis): void {
-		if (call.customer !== '') {
+		// Without an objective before the deadline, a call that waits may still be served after a short overload.
+		if (call.customer !== '' && call.objective.at < call.deadline.at) {
 			this.refuseAt.set(call, now + Math.max(0, call.objective.at - now) * maxWaitShare);
 		}
 	}
--- a/src/ingress/__tests__/unit/call-budgets.test.ts
+++ b/src/ingress/__tests__/unit/call-budgets.test.ts
@@ -6,7 +6,8 @@
 function createCall(customer: string, priority: number): BudgetedCall {
 	const origin = {requestId: 'r', caller: '', route: 'r', priority};
 	const policy = {service: 's', customer, retryShare: 0.5, hedgeShare: 0.5};
-	return {head: {customer, origin}, policy} as unknown as BudgetedCall;
+	const index = {hasCustomers: true};
+	return {head: {customer, origin}, policy, index} as unknown as BudgetedCall;
 }
 
 /** @returns how many retries in a row the budget allows. */
@@ -64,4 +65,14 @@
 		earnAll(budgets, [createCall('', 0)], 2);
 		expect(countRetries(budgets, createCall('', 7))).toBe(1);
 	});
+
+	it('treats all calls alike where customers have no keys', () => {
+		const budgets = new CallBudgets(() => ({retries: 10, hedges: 10}));
+		const calls = Array.from({length: 9}, (_, i) => ({
+			...createCall(`customer-${i}`, i),
+			index: {hasCustomers: false},
+		}));
+		earnAll(budgets, calls, 1);
+		expect(countRetries(budgets, calls[8]!)).toBe(10);
+	});
 });
--- a/src/ingress/call-budgets.ts
+++ b/src/ingress/call-budgets.ts
@@ -12,14 +12,22 @@
 }
 
 /** Properties of a call that its budgets depend on. */
-export type BudgetedCall = Pick<Call, 'head' | 'policy'>;
+export type BudgetedCall = Pick<Call, 'head' | 'policy'> & {
+	readonly index: Pick<Call['index'], 'hasCustomers'>;
+};
 
 /** Lowest urgency that is told apart. */
 const maxLevel = 15;
 
+// Customers are told apart only where the configuration declares them with keys.
+function customerOf({head, index}: BudgetedCall): string {
+	return index.hasCustomers ? head.customer : '';
+}
+
 // Only customers have priorities in the budgets: other calls spend what all have earned.
-function levelOf({head}: BudgetedCall): number {
-	return head.customer === '' ? 0 : Math.min(maxLevel, Math.floor(head.origin.priority));
+function levelOf(call: BudgetedCall): number {
+	const {priority} = call.head.origin;
+	return customerOf(call) === '' ? 0 : Math.min(maxLevel, Math.floor(priority));
 }
 
 /**
@@ -40,11 +48,11 @@
 			budget.deposit(amount);
 		}
 
-		this.balances.earn(call.head.customer, amount);
+		this.balances.earn(customerOf(call), amount);
 	}
 
 	trySpend(call: BudgetedCall): boolean {
-		const {customer} = call.head;
+		const customer = customerOf(call);
 		const levels = this.levelsUpTo(levelOf(call));
 		if (!this.balances.maySpend(customer) || !levels.every(({isEmpty}) => !isEmpty)) {
 			return false;
