--- a/scaffold/mesh/pipelining-caller.ts
+++ b/scaffold/mesh/pipelining-caller.ts
@@ -29,6 +29,8 @@
 	readonly address: string;
 	readonly port: number;
 	readonly host: string;
+	/** How long the caller waits for each answer, in ms. */
+	readonly timeout: number;
 }
 
 /** What the caller does to its connection. */
@@ -126,12 +128,12 @@
 	}
 }
 
-function formatRequest({host}: PipelineTarget, call: PipelinedCall): string {
+function formatRequest({host, timeout}: PipelineTarget, call: PipelinedCall): string {
 	const {name, path, attempts, isSafe} = call;
 	call.attempts += 1;
 	const method = isSafe ? 'GET' : 'POST';
 	const length = isSafe ? '' : 'Content-Length: 0\r\n';
-	const id = `X-Attempt-Id: ${name}.${attempts}\r\nX-Request-Deadline: 2000\r\n`;
+	const id = `X-Attempt-Id: ${name}.${attempts}\r\nX-Request-Deadline: ${timeout}\r\n`;
 	return `${method} ${path} HTTP/1.1\r\nHost: ${host}\r\n${id}${length}\r\n`;
 }
 
