Keep the connection behind a refused request whose unread body can be discarded

Callers of refused uploads then connect again, and the test of uploads expects the connection to go on. Change: a body of known length up to 1 MB, of which nothing was read and which its caller sends unasked, is received and discarded for at most 2 s.

--- a/src/ingress/caller-connection.ts
+++ b/src/ingress/caller-connection.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import {second, type Clock, type Millis} from '../clock/index.js';
 import {withResolvers, type Deferred} from '../util/index.js';
+import {canDiscardRest, discardRest} from './discard.js';
 import {decideParseFailure, ParseFailureAction} from './parse-failure.js';
 import {RequestPipeline, type PipelinedRequest, type PipelineLimits} from './request-pipeline.js';
 
@@ -316,16 +317,19 @@
 
 	/**
 	 * Decides whether the connection closes behind the answer that is written next. It does so if the request has not
-	 * been read to its end: nobody may read the rest of a body of which a part was read, and then the next request on
-	 * the connection would not be seen.
+	 * been read to its end, unless its rest is discarded: nobody may read the rest of a body of which a part was read,
+	 * and then the next request on the connection would not be seen.
 	 * @param turn - turn of its request.
 	 */
 	startAnswer({req, res}: CallerTurn): void {
-		const {closes, dropped} = this.pipeline.startAnswer(!req.complete || !res.shouldKeepAlive);
+		const isUnread = !req.complete && !canDiscardRest(req);
+		const {closes, dropped} = this.pipeline.startAnswer(isUnread || !res.shouldKeepAlive);
 		if (closes) {
 			res.shouldKeepAlive = false;
 			this.lastRequest = req;
 			this.lose(dropped);
+		} else {
+			discardRest(req, this.deps.clock);
 		}
 	}
 
