--- a/tests/customers.test.ts
+++ b/tests/customers.test.ts
@@ -17,7 +17,7 @@
 }
 
 describe('customers with keys', () => {
-	const mesh = new Mesh(9);
+	const mesh = new Mesh(42);
 	let alpha: MeshNode;
 	let beta: MeshNode;
 	let rejected: MeshNode;
--- a/tests/rate-limits.test.ts
+++ b/tests/rate-limits.test.ts
@@ -27,7 +27,7 @@
 }
 
 describe('nodes beside a backend server that names a rate limit', () => {
-	const mesh = new Mesh(6);
+	const mesh = new Mesh(11);
 	let limited: MeshNode;
 	let free: MeshNode;
 	let other: MeshNode;
