Limit the share of calls that leaves an availability zone, and refuse those of others early

Each node moves a share per service and destination in small steps, from the forecast demand of its own zone and the room that executors of other zones report. It takes effect where the settings give transfer costs; the mechanism zone-spillover switches it off. Zones whose executors report no room, as older nodes, are open to calls as before.

--- a/bench/fleet/simulated-node.ts
+++ b/bench/fleet/simulated-node.ts
@@ -115,6 +115,10 @@
 			metrics,
 			logger: silentLogger,
 			disabled,
+			zoneGuard: {
+				isFromOtherZone: (instance) => this.placement.isFromOtherZone(instance),
+				roomForOtherZones: () => this.placement.roomForOtherZones(),
+			},
 			createSender: () => this.backend,
 			crashWatch: {
 				isHeld: () => false,
--- a/src/call/load-report.ts
+++ b/src/call/load-report.ts
@@ -18,4 +18,11 @@
 	readonly rateLimit?: number | undefined;
 	/** Time until another call can start under the rate limit, in ms; undefined if there is no limit. */
 	readonly untilStart?: Millis | undefined;
+	/**
+	 * Free share of the slots of the service in the executor's availability zone for callers of other zones, from -1
+	 * to 1; -1 while the zone has too little capacity for its own callers. Undefined if it is not known.
+	 */
+	readonly zoneRoom?: number | undefined;
+	/** Number of the calls here that nodes of other availability zones have sent; undefined for none. */
+	readonly otherZoneCalls?: number | undefined;
 }
--- /dev/null
+++ b/src/executor/__tests__/unit/zone-guard.test.ts
@@ -0,0 +1,134 @@
+import {describe, expect, it} from 'vitest';
+import {Deadline, RefusalReason} from '../../../call/index.js';
+import {ManualClock} from '../../../clock/index.js';
+import {
+	AttemptEnd,
+	Cancellation,
+	createBufferedBody,
+	type Attempt,
+	type AttemptResult,
+} from '../../../exchange/index.js';
+import {Metrics, silentLogger} from '../../../telemetry/index.js';
+import {withResolvers} from '../../../util/index.js';
+import {Executor} from '../../index.js';
+
+const slots = 10;
+
+function createFixture(room: number | undefined) {
+	const clock = new ManualClock(1000);
+	const executor = new Executor({
+		clock,
+		metrics: new Metrics(),
+		logger: silentLogger,
+		crashWatch: {
+			isHeld: () => false,
+			recordAnswered: () => undefined,
+			recordBroken: () => undefined,
+		},
+		zoneGuard: {
+			isFromOtherZone: (instance) => instance.startsWith('other'),
+			roomForOtherZones: () => room,
+		},
+		createSender: () => ({
+			send: async () => withResolvers<AttemptResult>().promise,
+			close: () => undefined,
+		}),
+		onBackendUnreachable: () => undefined,
+		onBackendLeaving: () => undefined,
+		onLoadChanged: () => undefined,
+		probeSpeed: async () => undefined,
+	});
+	executor.attach(
+		{endpoint: {address: '127.0.0.1', port: 1}, instance: 'b', connections: slots},
+		's',
+	);
+	executor.setLimits(slots, 40);
+	executor.readSpeed(1);
+	let sequence = 0;
+	const run = async (
+		from: string,
+		canRetryElsewhere = true,
+	): Promise<AttemptResult | undefined> => {
+		sequence += 1;
+		const attempt: Attempt = {
+			id: {instance: `${from}:7001#1`, sequence},
+			head: {
+				service: 's',
+				customer: '',
+				method: 'GET',
+				path: '/',
+				headers: [],
+				isIdempotent: true,
+				key: undefined,
+				origin: {requestId: `${sequence}`, caller: '', route: 'r', priority: 0},
+				fingerprint: `${sequence}`,
+			},
+			share: 1,
+			canRetryElsewhere,
+			deadline: Deadline.in(clock.now(), 1000),
+			objective: Deadline.in(clock.now(), 500),
+			body: createBufferedBody(new Uint8Array()),
+			cancellation: new Cancellation(),
+		};
+		const pending = new Promise<undefined>((resolve) => {
+			setImmediate(() => {
+				resolve(undefined);
+			});
+		});
+		return Promise.race([executor.run(attempt), pending]);
+	};
+
+	const fill = async (count: number) => {
+		for (let i = 0; i < count; i++) {
+			expect(await run('own')).toBeUndefined();
+		}
+	};
+
+	return {executor, run, fill};
+}
+
+describe('an executor whose zone is short', () => {
+	it('refuses attempts of other zones as not run, and takes those of its own zone', async () => {
+		// Otherwise its own callers wait for slots that callers with room elsewhere have taken.
+		const {executor, run, fill} = createFixture(-1);
+		await fill(6);
+		const result = await run('other');
+		expect(result).toMatchObject({end: AttemptEnd.Refused, reason: RefusalReason.ZoneShort});
+		expect(result).toMatchObject({load: {zoneRoom: -1, otherZoneCalls: 0}});
+		expect(await run('own')).toBeUndefined();
+		expect(executor.report().inFlight).toBe(7);
+	});
+
+	it('takes attempts of other zones while most of its slots are free', async () => {
+		const {executor, run, fill} = createFixture(-1);
+		await fill(2);
+		expect(await run('other')).toBeUndefined();
+		expect(executor.report().otherZoneCalls).toBe(1);
+	});
+
+	it('takes an attempt that cannot go elsewhere', async () => {
+		// A call of a zone without any backend server would be lost by the refusal.
+		const {run, fill} = createFixture(-1);
+		await fill(7);
+		expect(await run('other', false)).toBeUndefined();
+	});
+});
+
+describe('an executor whose zone has room', () => {
+	it('takes attempts of other zones', async () => {
+		const {executor, run, fill} = createFixture(0.1);
+		await fill(7);
+		expect(await run('other')).toBeUndefined();
+		expect(executor.report()).toMatchObject({zoneRoom: 0.1, otherZoneCalls: 1});
+	});
+});
+
+describe('an executor without a decision on zones', () => {
+	it('takes attempts of other zones and reports nothing of them', async () => {
+		const {executor, run, fill} = createFixture(undefined);
+		await fill(7);
+		expect(await run('other')).toBeUndefined();
+		expect(executor.report()).not.toHaveProperty('zoneRoom');
+		expect(executor.report()).not.toHaveProperty('otherZoneCalls');
+	});
+});
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -49,6 +49,20 @@
 	recordBroken(fingerprints: readonly string[]): void;
 }
 
+/** Decision about the attempts that nodes of other availability zones send here. */
+export interface ZoneGuard {
+	/**
+	 * @param instance - instance of the node that has sent an attempt.
+	 * @returns whether the node is in another availability zone.
+	 */
+	isFromOtherZone(instance: string): boolean;
+	/**
+	 * @returns free share of the slots of the own zone for callers of other zones, -1 while the zone is short;
+	 * undefined if no decision is made.
+	 */
+	roomForOtherZones(): number | undefined;
+}
+
 export interface ExecutorDependencies {
 	readonly clock: Clock;
 	readonly metrics: Metrics;
@@ -56,6 +70,8 @@
 	readonly crashWatch: CrashWatch;
 	/** Mechanisms that an experiment switches off. */
 	readonly disabled?: DisabledMechanisms;
+	/** Undefined if all attempts are treated alike, wherever they come from. */
+	readonly zoneGuard?: ZoneGuard | undefined;
 	/** @returns a sender of requests to a backend server. */
 	createSender(backend: BackendTarget): BackendSender;
 	/** Called when the backend server accepts no connections or another one listens at its address. */
@@ -105,6 +121,10 @@
  * that can be in time. A higher estimate would hold back every call.
  */
 const maxWorkShare = 0.75;
+/** Room of the own zone below which attempts of other zones are refused unless a slot is free for them. */
+const minRoomForOtherZones = -0.2;
+/** Load per slot up to which an attempt of another zone takes no slot that own callers need at once. */
+const otherZoneLoadShare = 0.6;
 /** Load per slot at or below which a backend server that was reported as full is reported as free. */
 const freeLoadShare = 0.8;
 
@@ -127,6 +147,7 @@
 	private isDraining = false;
 	private isSweeping = false;
 	private isReportedFull = false;
+	private otherZoneCalls = 0;
 	private lastRequestAt = Number.NEGATIVE_INFINITY;
 	private warmUpSlowdown = 1;
 
@@ -217,7 +238,7 @@
 	/** @returns the current load of the backend server. */
 	report(): LoadReport {
 		const slowdown = Math.max(this.speed.slowdown(this.deps.clock.now()), this.warmUpSlowdown);
-		return {...this.admission.report(), slowdown};
+		return {...this.admission.report(), slowdown, ...this.reportZone()};
 	}
 
 	/**
@@ -283,7 +304,10 @@
 
 	async run(attempt: Attempt): Promise<AttemptResult> {
 		this.lastRequestAt = this.deps.clock.now();
+		const otherZoneCall = this.isFromOtherZone(attempt) ? 1 : 0;
+		this.otherZoneCalls += otherZoneCall;
 		const result = await this.admit(attempt);
+		this.otherZoneCalls -= otherZoneCall;
 		if (result.end === AttemptEnd.Refused) {
 			const {reason} = result;
 			if (reason === RefusalReason.BackendUnreachable || reason === RefusalReason.BackendReplaced) {
@@ -299,6 +323,27 @@
 		return result.end === AttemptEnd.Answered ? {...result, load: this.report()} : result;
 	}
 
+	private reportZone(): Pick<LoadReport, 'zoneRoom' | 'otherZoneCalls'> {
+		const zoneRoom = this.deps.zoneGuard?.roomForOtherZones();
+		return zoneRoom === undefined ? {} : {zoneRoom, otherZoneCalls: this.otherZoneCalls};
+	}
+
+	// Nothing of the body has been read yet. An attempt that cannot go elsewhere competes like those of own callers.
+	private zoneRefusal(attempt: Attempt): RefusalReason | undefined {
+		if (!attempt.canRetryElsewhere || !this.isFromOtherZone(attempt)) {
+			return undefined;
+		}
+
+		const room = this.deps.zoneGuard?.roomForOtherZones() ?? 0;
+		const {inFlight, queued, slots} = this.admission.report();
+		const hasSlot = inFlight + queued + 1 <= slots * otherZoneLoadShare;
+		return room < minRoomForOtherZones && !hasSlot ? RefusalReason.ZoneShort : undefined;
+	}
+
+	private isFromOtherZone({id}: Attempt): boolean {
+		return this.deps.zoneGuard?.isFromOtherZone(id.instance) ?? false;
+	}
+
 	private async admit(attempt: Attempt): Promise<AttemptResult> {
 		if (!this.ledger.admit(attempt.id, this.deps.clock.now())) {
 			return createRefused(RefusalReason.Fenced);
@@ -406,7 +451,7 @@
 		}
 
 		const isHeld = this.deps.crashWatch.isHeld(attempt.head.fingerprint);
-		return isHeld ? RefusalReason.Held : undefined;
+		return isHeld ? RefusalReason.Held : this.zoneRefusal(attempt);
 	}
 
 	private async send(
--- a/src/executor/index.ts
+++ b/src/executor/index.ts
@@ -1,6 +1,6 @@
 export {BackendClient, type BackendSender, type BackendTarget} from './backend-client.js';
 export type {BackendCallListener, WriteGate} from './backend-call.js';
-export {Executor, type CrashWatch, type ExecutorDependencies} from './executor.js';
+export {Executor, type CrashWatch, type ExecutorDependencies, type ZoneGuard} from './executor.js';
 export {
 	AnswerKind,
 	parseRate,
--- a/src/experiment/mechanism.ts
+++ b/src/experiment/mechanism.ts
@@ -32,6 +32,8 @@
 	ExecutorWait = 'executor-wait',
 	/** Learns run times from a backend server that has just started. */
 	ColdProfile = 'cold-profile',
+	/** Limits how much of the load of its own availability zone a node sends to others. */
+	ZoneSpillover = 'zone-spillover',
 }
 
 /** Mechanisms that are switched off. */
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -83,6 +83,7 @@
 	RefusalReason.Busy,
 	RefusalReason.BackendSlow,
 	RefusalReason.RateLimited,
+	RefusalReason.ZoneShort,
 ]);
 /** After this many refusals by busy executors, a call queues at the executor that it is sent to. */
 const maxBusyRefusals = 2;
--- a/src/link/__tests__/unit/frame-codec.test.ts
+++ b/src/link/__tests__/unit/frame-codec.test.ts
@@ -59,6 +59,12 @@
 	{type: FrameType.Heartbeat},
 	{type: FrameType.Leaving},
 	{type: FrameType.Load, load},
+	{type: FrameType.Load, load: {...load, zoneRoom: 0.25, otherZoneCalls: 3}},
+	{type: FrameType.Load, load: {...load, zoneRoom: -1, otherZoneCalls: 0}},
+	{
+		type: FrameType.Load,
+		load: {...load, rateLimit: 4.5, untilStart: 120, zoneRoom: 1, otherZoneCalls: 1},
+	},
 	{type: FrameType.Fetch, correlationId: 3, hash: 'h'},
 	{type: FrameType.FetchResult, correlationId: 3, content: undefined},
 	{type: FrameType.HandoverAck, correlationId: 4},
@@ -69,6 +75,23 @@
 		expect(decodeFrame(encodeFrame(frame))).toEqual(frame);
 	});
 
+	it('adds no bytes to a load report without a decision on zones, and appends its fields otherwise', () => {
+		// Builds from before these fields read the first eight and ignore the others.
+		const plain = unpack(encodeFrame({type: FrameType.Load, load})) as [number, unknown[]];
+		expect(plain[1]).toHaveLength(6);
+		const frame: Frame = {type: FrameType.Load, load: {...load, zoneRoom: 0.5, otherZoneCalls: 2}};
+		const [, fields] = unpack(encodeFrame(frame)) as [number, unknown[]];
+		expect(fields.slice(0, 6)).toEqual(plain[1]);
+		expect(fields.slice(6)).toEqual([undefined, undefined, 150, 2]);
+	});
+
+	it('encodes a refusal by a short zone as busy for builds that do not know the reason', () => {
+		const reason = RefusalReason.ZoneShort;
+		const bytes = encodeFrame({type: FrameType.Refused, stream: 2, reason, load: undefined});
+		expect((unpack(bytes) as unknown[])[2]).toBe(RefusalReason.Busy);
+		expect(decodeFrame(bytes)).toMatchObject({reason});
+	});
+
 	it('encodes a refusal by a rate limit as busy for builds that do not know the reason', () => {
 		const reason = RefusalReason.RateLimited;
 		const bytes = encodeFrame({type: FrameType.Refused, stream: 2, reason, load: undefined});
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -19,6 +19,7 @@
 const earlierReasons: Readonly<Partial<Record<RefusalReason, RefusalReason>>> = {
 	[RefusalReason.RateLimited]: RefusalReason.Busy,
 	[RefusalReason.BackendCold]: RefusalReason.Busy,
+	[RefusalReason.ZoneShort]: RefusalReason.Busy,
 	[RefusalReason.ZoneEvacuated]: RefusalReason.Draining,
 	[RefusalReason.RegionNotAllowed]: RefusalReason.NoBackend,
 	[RefusalReason.UnknownKey]: RefusalReason.NoBackend,
@@ -37,7 +38,7 @@
 	return Math.round(value * 1000) / 1000;
 }
 
-function packLoad(load: LoadReport | undefined): readonly number[] | undefined {
+function packLoad(load: LoadReport | undefined): ReadonlyArray<number | undefined> | undefined {
 	if (!load) {
 		return undefined;
 	}
@@ -45,7 +46,22 @@
 	const {inFlight, queued, slots, serviceTime, failureShare, slowdown, rateLimit} = load;
 	const times = [round(serviceTime), round(failureShare), round(slowdown)];
 	const rates = rateLimit === undefined ? [] : [round(rateLimit), round(load.untilStart ?? 0)];
-	return [inFlight, queued, slots, ...times, ...rates];
+	const fields = [inFlight, queued, slots, ...times, ...rates];
+	if (load.zoneRoom === undefined) {
+		return fields;
+	}
+
+	const zone = [packRoom(load.zoneRoom), load.otherZoneCalls ?? 0];
+	return [...fields, ...(rateLimit === undefined ? [undefined, undefined] : []), ...zone];
+}
+
+// In percent, and shifted, as numbers on links are not negative.
+function packRoom(room: number): number {
+	return Math.round((Math.min(1, Math.max(-1, room)) + 1) * 100);
+}
+
+function unpackRoom(packed: number | undefined): number | undefined {
+	return packed === undefined ? undefined : Math.min(packed, 200) / 100 - 1;
 }
 
 function packRefused({type, stream, reason, load}: RefusedFrame): readonly unknown[] {
@@ -260,6 +276,8 @@
 			slowdown: fields.number(),
 			rateLimit: fields.optionalNumber(),
 			untilStart: fields.optionalNumber(),
+			zoneRoom: unpackRoom(fields.optionalNumber()),
+			otherZoneCalls: fields.optionalNumber(),
 		};
 	}
 
--- a/src/routing/executor-sampler.ts
+++ b/src/routing/executor-sampler.ts
@@ -48,14 +48,19 @@
 
 	/**
 	 * @param query - service of a call, and the members and regions that are left out.
+	 * @param isIncluded - restricts the sample; undefined for no restriction.
 	 * @returns the sampled routable members.
 	 */
-	sample({service, excluded, allowedRegions}: SampleQuery): Iterable<Member> {
+	sample(
+		{service, excluded, allowedRegions}: SampleQuery,
+		isIncluded?: (member: Member) => boolean,
+	): Iterable<Member> {
 		const {size, byDistance} = this.membersOf(service);
 		const canServe = (member: Member) =>
 			isRoutable(member) &&
 			!excluded.has(member.id) &&
-			(allowedRegions?.includes(member.region) ?? true);
+			(allowedRegions?.includes(member.region) ?? true) &&
+			(isIncluded?.(member) ?? true);
 		const sampled = new Set<Member>();
 		const isSmall = size <= this.maxSmallServiceSize;
 		for (const distance of [Distance.SameZone, Distance.SameRegion, Distance.OtherRegion]) {
--- a/src/routing/executor-view.ts
+++ b/src/routing/executor-view.ts
@@ -13,6 +13,11 @@
 	sentAtSum: Millis;
 	/** Time until which the executor is chosen only if no other is available. */
 	avoidUntil: Millis;
+	/**
+	 * Mean time by which attempts there took longer than their work and the usual network time, in ms: a slow node or
+	 * a longer way, not a slow backend server.
+	 */
+	extraTime: Millis;
 }
 
 function createView(): ExecutorView {
@@ -23,6 +28,7 @@
 		outstandingAtReport: 0,
 		sentAtSum: 0,
 		avoidUntil: 0,
+		extraTime: 0,
 	};
 }
 
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -12,6 +12,14 @@
 	type TransferCosts,
 } from './objective-placement.js';
 export {CallProfiles, isScalableSpeed, isUsualSpeed, type CallProfile} from './call-profiles.js';
+export {
+	ZoneDecisions,
+	zoneOf,
+	type SpilloverChange,
+	type ZoneFigures,
+	type ZonePlan,
+} from './zone-decisions.js';
+export {noRoom} from './zone-spillover.js';
 export {WeightedSplit} from './weighted-split.js';
 export {ExpectedWaitPolicy} from './expected-wait-policy.js';
 export type {RoutingPolicy, RoutingQuery} from './routing-policy.js';
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -13,6 +13,7 @@
 import {ExecutorSampler} from './executor-sampler.js';
 import {expectedLoss, expectedTime} from './expected-time.js';
 import {ExecutorViews, type ExecutorView} from './executor-view.js';
+import {ZoneDecisions, zoneOf, type SpilloverChange, type ZonePlan} from './zone-decisions.js';
 import type {AttemptOutcome, Placement, PlacementQuery} from './placement.js';
 
 /** Costs of transferring bytes between availability zones and regions. */
@@ -34,6 +35,8 @@
 	readonly costs: TransferCosts;
 	/** @returns the priority of the least urgent requests. */
 	readonly lowestPriority: () => number;
+	/** Called on notable changes of the share of calls that leaves the availability zone. */
+	readonly onSpilloverChange?: (change: SpilloverChange) => void;
 }
 
 /** Network round-trip time of an attempt and its answer, by distance, in ms. */
@@ -93,6 +96,13 @@
 /** Upper bound of the expected wait for a rate limit; longer than any call waits. */
 const maxRateWait: Millis = minute;
 
+/** Loss of the own callers of a zone that is short, when a call of another zone takes a slot there. */
+const displacementLoss = 0.5;
+/** Weight of one sample in the mean extra time of an executor, and its bounds relative to the work. */
+const extraTimeWeight = 0.1;
+const minExtraShare = -0.5;
+const maxExtraShare = 2;
+
 type Evaluation = {readonly member: Member; readonly time: Millis; readonly loss: number};
 
 /**
@@ -101,6 +111,8 @@
  * executor decay with their age.
  */
 export class ObjectivePlacement implements Placement {
+	/** Undefined if transfers have no cost, so that it does not matter where calls run. */
+	readonly zones: ZoneDecisions | undefined;
 	private readonly views = new ExecutorViews();
 	private readonly profiles = new CallProfiles();
 	private readonly executors: ExecutorSampler;
@@ -112,10 +124,12 @@
 			? Number.POSITIVE_INFINITY
 			: undefined;
 		this.executors = new ExecutorSampler(deps.directory, deps.self, deps.random, maxEvaluated);
+		this.zones = this.createZones();
 	}
 
 	choose(query: PlacementQuery): Member | undefined {
-		return this.findBest(query)?.member;
+		const plan = this.zones?.plan(query, this.profiles.of(query.kind, query.objective));
+		return plan ? this.chooseByPlan(query, plan) : this.findBest(query)?.member;
 	}
 
 	noExecutorReason(query: PlacementQuery): RefusalReason {
@@ -137,10 +151,11 @@
 	// whose executor reports a slow period just after the start.
 	hedgeExecutor(query: PlacementQuery, executor: Member, elapsed: Millis): Member | undefined {
 		const {work} = this.profiles.of(query.kind, query.objective);
-		const isOverdue = elapsed > work * hedgeDelayFactor;
+		const usualTime = work + this.views.of(executor.id).extraTime;
+		const isOverdue = elapsed > usualTime * hedgeDelayFactor;
 		const slowdown =
 			this.slowdownAtStart(executor, elapsed) ?? (isOverdue ? slowPeriodSlowdown : undefined);
-		const other = slowdown === undefined ? undefined : this.findBest(query);
+		const other = slowdown === undefined ? undefined : this.findHedge(query);
 		if (slowdown === undefined || !other) {
 			return undefined;
 		}
@@ -195,7 +210,24 @@
 		this.meanSlowdown += (load.slowdown - this.meanSlowdown) * 0.01;
 	}
 
+	/** @returns free share of the slots of the own zone for callers of other zones; see `LoadReport.zoneRoom`. */
+	roomForOtherZones(): number | undefined {
+		const {service} = this.deps.self();
+		return service === '' ? undefined : this.zones?.room(service);
+	}
+
+	/**
+	 * @param instance - instance of a node.
+	 * @returns whether the node is known and in another availability zone.
+	 */
+	isFromOtherZone(instance: string): boolean {
+		const id = instance.split('#', 1)[0]!;
+		const member = this.zones && this.deps.directory.get(id);
+		return member !== undefined && zoneOf(member) !== zoneOf(this.deps.self());
+	}
+
 	avoid(id: string, duration: Millis): void {
+		this.zones?.recordLoss(id);
 		this.views.of(id).avoidUntil = this.deps.clock.now() + duration;
 	}
 
@@ -214,13 +246,95 @@
 		if (isUsual && outcome.answerBytes !== undefined && !outcome.isFailure) {
 			const roundTrip = roundTrips[distanceBetween(this.deps.self(), executor)];
 			const work = Math.max(1, this.deps.clock.now() - outcome.sentAt - roundTrip);
-			this.profiles.add(query.kind, work, outcome.answerBytes);
+			this.updateExtraTime(query, executor, work);
+			// Calls that leave take longer by the network, so that only those of the own zone show the work.
+			const isElsewhere = distanceBetween(this.deps.self(), executor) !== Distance.SameZone;
+			if (!(isElsewhere && this.zones?.hasOwnExecutor(query.service))) {
+				this.profiles.add(query.kind, work, outcome.answerBytes);
+			}
 		}
 	}
 
-	private findBest(query: PlacementQuery): Evaluation | undefined {
+	// Without a decision on zones, the times of all executors make one mean.
+	private updateExtraTime(query: PlacementQuery, executor: Member, time: Millis): void {
+		if (this.zones) {
+			const {work} = this.profiles.of(query.kind, query.objective);
+			const extra = Math.min(work * maxExtraShare, Math.max(work * minExtraShare, time - work));
+			const view = this.views.of(executor.id);
+			view.extraTime += (extra - view.extraTime) * extraTimeWeight;
+		}
+	}
+
+	private createZones(): ZoneDecisions | undefined {
+		const {clock, directory, self, costs, disabled, onSpilloverChange} = this.deps;
+		const isCostly = costs.otherZone > 0 || costs.otherRegion > 0;
+		if (!isCostly || disabled?.has(Mechanism.ZoneSpillover)) {
+			return undefined;
+		}
+
+		return new ZoneDecisions({
+			clock,
+			directory,
+			self,
+			views: this.views,
+			slowdownOf: (view, now) => this.slowdownOf(view, now),
+			roundTripOf: (distance) => roundTrips[distance],
+			transferLoss: (...transfer) => this.transferLoss(...transfer),
+			onChange: onSpilloverChange,
+		});
+	}
+
+	private chooseByPlan(query: PlacementQuery, plan: ZonePlan): Member | undefined {
+		const {destination, urgentDestination, unlimited} = plan;
+		const ownZone = zoneOf(this.deps.self());
+		const own = this.findBest(query, (member) => {
+			const zone = zoneOf(member);
+			return zone === ownZone || unlimited.has(zone);
+		});
+		const ownLoss = own?.loss ?? avoidLoss;
+		const member =
+			this.tryZone(query, destination, ownLoss + displacementLoss) ??
+			this.tryZone(query, urgentDestination, ownLoss - displacementLoss);
+		if (member) {
+			return member;
+		}
+
+		return ownLoss < avoidLoss ? own?.member : this.findBest(query)?.member;
+	}
+
+	private tryZone(
+		query: PlacementQuery,
+		zone: string | undefined,
+		maxLoss: number,
+	): Member | undefined {
+		if (zone === undefined) {
+			return undefined;
+		}
+
+		const best = this.findBest(query, (member) => zoneOf(member) === zone);
+		if (!best || best.loss >= maxLoss) {
+			return undefined;
+		}
+
+		this.zones?.recordLeaving(query.service, zone);
+		return best.member;
+	}
+
+	private findHedge(query: PlacementQuery): Evaluation | undefined {
+		if (!this.zones?.isLimited(query.service)) {
+			return this.findBest(query);
+		}
+
+		const ownZone = zoneOf(this.deps.self());
+		return this.findBest(query, (member) => zoneOf(member) === ownZone) ?? this.findBest(query);
+	}
+
+	private findBest(
+		query: PlacementQuery,
+		isIncluded?: (member: Member) => boolean,
+	): Evaluation | undefined {
 		let best: Evaluation | undefined;
-		for (const member of this.executors.sample(query)) {
+		for (const member of this.executors.sample(query, isIncluded)) {
 			const evaluation = this.evaluate(query, member);
 			if (!best || evaluation.loss < best.loss) {
 				best = evaluation;
@@ -241,7 +355,7 @@
 			slowdown: this.slowdownOf(view, now),
 			load: loadOf(view, now),
 			slots: view.load?.slots ?? (member.slots > 0 ? member.slots : defaultSlots),
-			roundTrip: roundTrips[distance],
+			roundTrip: roundTrips[distance] + view.extraTime,
 			rateWait: disabled?.has(Mechanism.RateReport) ? 0 : rateWaitOf(view, now),
 		});
 		const {objectiveLeft, timeLeft} = query;
@@ -252,7 +366,8 @@
 			this.transferLoss(distance, bytes, query.priority) +
 			(timeLoss * time) / Math.max(1, objectiveLeft) +
 			(disabled?.has(Mechanism.FailureLoss) ? 0 : failureLoss(view, now)) +
-			(now < view.avoidUntil ? avoidLoss : 0);
+			(now < view.avoidUntil ? avoidLoss : 0) +
+			(this.zones?.isShort(member) ? displacementLoss : 0);
 		return {member, time, loss};
 	}
 
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -200,6 +200,30 @@
 		warn,
 		'Log lines were dropped to limit the volume.',
 	),
+	spilloverStarted: event(
+		910,
+		'spillover-started',
+		info,
+		'Calls for a service leave the availability zone, as it has too little capacity.',
+	),
+	spilloverEnded: event(
+		911,
+		'spillover-ended',
+		info,
+		'No more calls for a service leave the availability zone for want of capacity.',
+	),
+	zoneShort: event(
+		912,
+		'zone-short',
+		info,
+		'The availability zone has too little capacity for its own callers of a service.',
+	),
+	zoneSufficient: event(
+		913,
+		'zone-sufficient',
+		info,
+		'The availability zone has enough capacity for its own callers of a service again.',
+	),
 	requestHeld: event(
 		700,
 		'request-held',
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -111,6 +111,20 @@
 		registers: [this.registry],
 	});
 
+	readonly spilloverShare = new Gauge({
+		name: 'turmeric_spillover_share',
+		help: 'Share of the calls for a service that this node sends out of its availability zone for want of capacity.',
+		labelNames: ['service'],
+		registers: [this.registry],
+	});
+
+	readonly zoneShort = new Gauge({
+		name: 'turmeric_zone_short',
+		help: 'Whether the availability zone has too little capacity for its own callers of a service.',
+		labelNames: ['service'],
+		registers: [this.registry],
+	});
+
 	readonly inFlight = new Gauge({
 		name: 'turmeric_calls_in_flight',
 		help: 'Calls that this ingress has not answered yet.',
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -4,7 +4,7 @@
 import {GossipSocket} from '../datagram/index.js';
 import {RevisionTracker, type KnownRevisions} from '../declaration/index.js';
 import type {AttemptRunner} from '../exchange/index.js';
-import {BackendClient, Executor, type BackendProtocol} from '../executor/index.js';
+import {BackendClient, Executor, type BackendProtocol, type ZoneGuard} from '../executor/index.js';
 import {CallRunner, type BudgetBursts} from '../ingress/index.js';
 import {LinkHub, OpenTarget, type LinkHubDelegate} from '../link/index.js';
 import {
@@ -38,6 +38,8 @@
 	readonly takeHandover: LinkHubDelegate['acceptHandover'];
 	/** Runs attempts that are sent to this node as the owner of an idempotency key. */
 	readonly keyOwnerRunner: AttemptRunner;
+	/** Decision about attempts from other availability zones; undefined if they are treated alike. */
+	readonly zoneGuard?: ZoneGuard | undefined;
 	/** @returns the placement that chooses the executor of a call. */
 	createPlacement(core: NodeCore): Placement;
 	/** @returns the bursts that the retry and hedge budgets of this node allow. */
@@ -259,6 +261,7 @@
 			disabled: this.settings.disabled,
 			createSender: (target) => new BackendClient(target, this.hooks.backendProtocol, this.clock),
 			crashWatch: this.crashWatcher,
+			zoneGuard: this.hooks.zoneGuard,
 			onBackendUnreachable: () => {
 				this.backend.markUnreachable();
 			},
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -23,7 +23,7 @@
 import {LoadBroadcaster} from '../node/load-broadcaster.js';
 import {NodeEvent, NodeState} from '../node/node-lifecycle.js';
 import {OperatorServer, textReply} from '../operations/index.js';
-import {ObjectivePlacement} from '../routing/index.js';
+import {ObjectivePlacement, type SpilloverChange} from '../routing/index.js';
 import type {NodeSettings} from '../settings/index.js';
 import type {RestoreListener, RowFeed, TableService} from '../store/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
@@ -267,6 +267,10 @@
 			backendProtocol: this.adapters.backendProtocol,
 			announcementTimeout: settings.backend.announcePeriod * maxMissedAnnouncements,
 			isRestart: !settings.isFirstStart,
+			zoneGuard: {
+				isFromOtherZone: (instance) => this.placement?.isFromOtherZone(instance) ?? false,
+				roomForOtherZones: () => this.placement?.roomForOtherZones(),
+			},
 			createPlacement: (core) => this.createPlacement(core),
 			budgetBursts: () => this.budgetBursts(),
 			probeSpeed: async () => this.probe.probeNow(),
@@ -304,10 +308,31 @@
 			disabled: this.settings.disabled,
 			costs: {otherZone, otherRegion},
 			lowestPriority: () => this.lowestPriority,
+			onSpilloverChange: (change) => {
+				this.handleSpilloverChange(change);
+			},
 		});
 		return this.placement;
 	}
 
+	// Other zones must learn soon that this one is short, so that they send it no more calls.
+	private handleSpilloverChange({service, share, isShort, ...change}: SpilloverChange): void {
+		const {metrics, gossip} = this.core;
+		metrics.spilloverShare.set({service}, share);
+		metrics.zoneShort.set({service}, isShort ? 1 : 0);
+		if (change.isShortChanged) {
+			this.logger.log(isShort ? logEvents.zoneShort : logEvents.zoneSufficient, {service});
+			if (service === gossip.localMember.service) {
+				this.loadBroadcaster.scheduleBroadcast();
+			}
+		}
+
+		if (change.isLeavingChanged) {
+			const event = share > 0 ? logEvents.spilloverStarted : logEvents.spilloverEnded;
+			this.logger.log(event, {service, share: Math.round(share * 100) / 100});
+		}
+	}
+
 	// Each node uses an equal share of the slack that all nodes have in common in a window.
 	private budgetBursts(): BudgetBursts {
 		const nodes = Math.max(1, this.core.gossip.directory.countPresent());
