Compare zone policies on simulated nodes, and decide from averages that executors report

Loads that come with answers are those of busy executors: nodes took a zone with a load of 0.25 per slot for one of 0.7.

--- a/bench/fleet/workload.ts
+++ b/bench/fleet/workload.ts
@@ -1,5 +1,5 @@
 import {second, type Millis} from '../../src/clock/index.js';
-import type {Member} from '../../src/membership/index.js';
+import type {Distance, Member} from '../../src/membership/index.js';
 
 /** Calls that a backend server makes while it runs a call. */
 export interface NestedCalls {
@@ -52,6 +52,10 @@
 	readonly cold: {readonly duration: Millis; readonly slowdown: number};
 	readonly otherZoneCost: number;
 	readonly otherRegionCost: number;
+	/** One-way delay between two nodes by distance; undefined for the usual ones. */
+	readonly oneWay?: Readonly<Record<Distance, Millis>>;
+	/** Number of executors of a service in a zone, by its index; undefined if they are spread over the zones in turn. */
+	readonly executorsOfZone?: (service: string, zone: number) => number;
 }
 
 /** Load and faults of one simulation. */
@@ -60,12 +64,18 @@
 	readonly duration: Millis;
 	/** Whether all backend servers and nodes have just started. */
 	readonly isColdStart: boolean;
+	/** Mean age of the load reports that a node has of another one, in ms. */
+	readonly reportAge?: Millis;
 	/** @returns factor on the rate of outside calls. */
 	load(at: Millis): number;
 	/** @returns factor on the run time of the backend servers of a service. */
 	slowdown(service: string, executor: number, at: Millis): number;
 	/** @returns calls per second that a backend server of a service takes; undefined if it names no limit. */
 	rateLimit?(service: string, executor: number, at: Millis): number | undefined;
+	/** @returns factor on the rate of outside calls at the nodes of a zone, by its index. */
+	zoneLoad?(zone: number, at: Millis): number;
+	/** @returns whether a zone, by its index, is cut off from the others. */
+	isCut?(zone: number, at: Millis): boolean;
 }
 
 const noSlowdown = () => 1;
--- a/src/backend/index.ts
+++ b/src/backend/index.ts
@@ -1,3 +1,4 @@
+export {LoadAverage} from './load-average.js';
 export {Admission, type AdmissionLimits, type AdmissionRequest} from './admission.js';
 export {BackendEvent, backendMachine, BackendState} from './backend-lifecycle.js';
 export {BackendSpeed} from './backend-speed.js';
--- a/src/call/index.ts
+++ b/src/call/index.ts
@@ -1,7 +1,7 @@
 export type {AttemptId} from './attempt-id.js';
 export {AttemptLedger, AttemptState} from './attempt-ledger.js';
 export {Deadline} from './deadline.js';
-export type {LoadReport} from './load-report.js';
+export type {LoadReport, ZoneReport} from './load-report.js';
 export {Outcome} from './outcome.js';
 export {refusals, RefusalReason, type Refusal} from './refusal-reason.js';
 export type {HeaderList, RequestHead, RequestOrigin} from './request-head.js';
--- a/src/call/load-report.ts
+++ b/src/call/load-report.ts
@@ -18,11 +18,23 @@
 	readonly rateLimit?: number | undefined;
 	/** Time until another call can start under the rate limit, in ms; undefined if there is no limit. */
 	readonly untilStart?: Millis | undefined;
+	/** Figures on which calls of other availability zones are decided; undefined if these are not decided on. */
+	readonly zone?: ZoneReport | undefined;
+}
+
+/** Load of an executor and of its service in its availability zone; all per slot. */
+export interface ZoneReport {
 	/**
-	 * Free share of the slots of the service in the executor's availability zone for callers of other zones, from -1
-	 * to 1; -1 while the zone has too little capacity for its own callers. Undefined if it is not known.
+	 * Free share of the zone's slots for callers of other zones, from -1 to 1; -1 while the zone has too little
+	 * capacity for its own callers.
 	 */
-	readonly zoneRoom?: number | undefined;
-	/** Number of the calls here that nodes of other availability zones have sent; undefined for none. */
-	readonly otherZoneCalls?: number | undefined;
+	readonly room: number;
+	/** Recent mean of the calls that are running or queued at the executor. */
+	readonly load: number;
+	/** The part of `load` that nodes of other availability zones have sent. */
+	readonly otherLoad: number;
+	/** The same as `load` for all executors of the service in the zone. */
+	readonly zoneLoad: number;
+	/** The same as `otherLoad` for all executors of the service in the zone. */
+	readonly zoneOtherLoad: number;
 }
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -1,6 +1,7 @@
 import {
 	Admission,
 	BackendSpeed,
+	LoadAverage,
 	RateLimit,
 	Saturation,
 	shouldDelayStart,
@@ -13,6 +14,7 @@
 	type AttemptId,
 	type AttemptState,
 	type LoadReport,
+	type ZoneReport,
 } from '../call/index.js';
 import type {Clock, Millis} from '../clock/index.js';
 import {
@@ -61,6 +63,13 @@
 	 * undefined if no decision is made.
 	 */
 	roomForOtherZones(): number | undefined;
+	/**
+	 * Records the load of the local executor.
+	 * @param load - recent mean of its calls per slot.
+	 * @param otherLoad - the part of other zones.
+	 * @returns what is reported of the zone; undefined if no decision is made.
+	 */
+	reportZone(load: number, otherLoad: number): ZoneReport | undefined;
 }
 
 export interface ExecutorDependencies {
@@ -122,7 +131,7 @@
  */
 const maxWorkShare = 0.75;
 /** Room of the own zone below which attempts of other zones are refused unless a slot is free for them. */
-const minRoomForOtherZones = -0.2;
+const minRoomForOtherZones = -0.9;
 /** Load per slot up to which an attempt of another zone takes no slot that own callers need at once. */
 const otherZoneLoadShare = 0.6;
 /** Load per slot at or below which a backend server that was reported as full is reported as free. */
@@ -148,6 +157,8 @@
 	private isSweeping = false;
 	private isReportedFull = false;
 	private otherZoneCalls = 0;
+	private readonly loadAverage = new LoadAverage();
+	private readonly otherLoadAverage = new LoadAverage();
 	private lastRequestAt = Number.NEGATIVE_INFINITY;
 	private warmUpSlowdown = 1;
 
@@ -306,8 +317,11 @@
 		this.lastRequestAt = this.deps.clock.now();
 		const otherZoneCall = this.isFromOtherZone(attempt) ? 1 : 0;
 		this.otherZoneCalls += otherZoneCall;
-		const result = await this.admit(attempt);
+		const pending = this.admit(attempt);
+		this.recordAverages();
+		const result = await pending;
 		this.otherZoneCalls -= otherZoneCall;
+		this.recordAverages();
 		if (result.end === AttemptEnd.Refused) {
 			const {reason} = result;
 			if (reason === RefusalReason.BackendUnreachable || reason === RefusalReason.BackendReplaced) {
@@ -323,9 +337,20 @@
 		return result.end === AttemptEnd.Answered ? {...result, load: this.report()} : result;
 	}
 
-	private reportZone(): Pick<LoadReport, 'zoneRoom' | 'otherZoneCalls'> {
-		const zoneRoom = this.deps.zoneGuard?.roomForOtherZones();
-		return zoneRoom === undefined ? {} : {zoneRoom, otherZoneCalls: this.otherZoneCalls};
+	private reportZone(): Pick<LoadReport, 'zone'> {
+		const now = this.deps.clock.now();
+		const load = this.loadAverage.at(now);
+		const zone = this.deps.zoneGuard?.reportZone(load, this.otherLoadAverage.at(now));
+		return zone ? {zone} : {};
+	}
+
+	private recordAverages(): void {
+		if (this.deps.zoneGuard) {
+			const now = this.deps.clock.now();
+			const slots = Math.max(1, this.limits.slots);
+			this.loadAverage.record(this.callCount / slots, now);
+			this.otherLoadAverage.record(this.otherZoneCalls / slots, now);
+		}
 	}
 
 	// Nothing of the body has been read yet. An attempt that cannot go elsewhere competes like those of own callers.
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -5,6 +5,7 @@
 	type HeaderList,
 	type LoadReport,
 	type RequestOrigin,
+	type ZoneReport,
 } from '../call/index.js';
 import {FrameType, OpenTarget, type Frame, type RefusedFrame} from './frame.js';
 
@@ -14,6 +15,7 @@
 }
 
 const packr = new Packr({useRecords: false});
+const percent = 100;
 const reasons = new Set<string>(Object.values(RefusalReason));
 /** Reasons that earlier builds cannot decode, with the reason that these read instead. */
 const earlierReasons: Readonly<Partial<Record<RefusalReason, RefusalReason>>> = {
@@ -47,21 +49,21 @@
 	const times = [round(serviceTime), round(failureShare), round(slowdown)];
 	const rates = rateLimit === undefined ? [] : [round(rateLimit), round(load.untilStart ?? 0)];
 	const fields = [inFlight, queued, slots, ...times, ...rates];
-	if (load.zoneRoom === undefined) {
+	if (load.zone === undefined) {
 		return fields;
 	}
 
-	const zone = [packRoom(load.zoneRoom), load.otherZoneCalls ?? 0];
-	return [...fields, ...(rateLimit === undefined ? [undefined, undefined] : []), ...zone];
+	return [
+		...fields,
+		...(rateLimit === undefined ? [undefined, undefined] : []),
+		...packZone(load.zone),
+	];
 }
 
-// In percent, and shifted, as numbers on links are not negative.
-function packRoom(room: number): number {
-	return Math.round((Math.min(1, Math.max(-1, room)) + 1) * 100);
-}
-
-function unpackRoom(packed: number | undefined): number | undefined {
-	return packed === undefined ? undefined : Math.min(packed, 200) / 100 - 1;
+// In percent, as whole numbers are short. The room is shifted, as numbers on links are not negative.
+function packZone({room, load, otherLoad, zoneLoad, zoneOtherLoad}: ZoneReport): number[] {
+	const shares = [Math.min(1, Math.max(-1, room)) + 1, load, otherLoad, zoneLoad, zoneOtherLoad];
+	return shares.map((share) => Math.round(share * percent));
 }
 
 function packRefused({type, stream, reason, load}: RefusedFrame): readonly unknown[] {
@@ -276,8 +278,7 @@
 			slowdown: fields.number(),
 			rateLimit: fields.optionalNumber(),
 			untilStart: fields.optionalNumber(),
-			zoneRoom: unpackRoom(fields.optionalNumber()),
-			otherZoneCalls: fields.optionalNumber(),
+			...fields.zone(),
 		};
 	}
 
@@ -308,6 +309,18 @@
 		return this.number() === 0 ? OpenTarget.Executor : OpenTarget.KeyOwner;
 	}
 
+	zone(): Pick<LoadReport, 'zone'> {
+		const packedRoom = this.optionalNumber();
+		if (packedRoom === undefined) {
+			return {};
+		}
+
+		const share = () => (this.optionalNumber() ?? 0) / percent;
+		const room = Math.min(2, packedRoom / percent) - 1;
+		const [load, otherLoad, zoneLoad, zoneOtherLoad] = [share(), share(), share(), share()];
+		return {zone: {room, load, otherLoad, zoneLoad, zoneOtherLoad}};
+	}
+
 	private list(): readonly unknown[] {
 		const value = this.take();
 		if (!Array.isArray(value)) {
--- a/src/node/load-broadcaster.ts
+++ b/src/node/load-broadcaster.ts
@@ -26,6 +26,10 @@
 const sameZoneMessagesPerSecond = 16;
 const otherZoneMessagesPerSecond = 10;
 const otherRegionMessagesPerSecond = 3;
+/** Interval of the reports between the executors of a service in a zone. */
+const zoneReportPeriod: Millis = 300;
+/** Load per slot below which an executor counts as idle. */
+const minReportedLoad = 0.01;
 /** Unused rate that can be saved up, in seconds. */
 const rateDepth = 1;
 /** Slowdown factor from which the backend server counts as being in a slow period. */
@@ -37,6 +41,7 @@
 	private isScheduled = false;
 	private lastBroadcastAt = Number.NEGATIVE_INFINITY;
 	private wasSlow = false;
+	private wasIdle = true;
 
 	constructor(private readonly deps: LoadBroadcasterDependencies) {
 		const {clock} = deps;
@@ -63,6 +68,30 @@
 		});
 	}
 
+	/**
+	 * Sends the load to the other executors of the service in the zone at intervals, so that each of them knows
+	 * the load of the zone. Nothing is sent while the load is 0 and decisions on zones are not made.
+	 */
+	startZoneReports(): void {
+		this.deps.clock.repeat(zoneReportPeriod, () => {
+			const {gossip, hub, report} = this.deps;
+			const load = report();
+			const isIdle = load.zone === undefined || load.zone.load < minReportedLoad;
+			if (!(isIdle && this.wasIdle)) {
+				hub.broadcastLoad(load, ({id}) => {
+					const member = gossip.directory.get(id);
+					const {localMember} = gossip;
+					return (
+						member?.service === localMember.service &&
+						distanceBetween(localMember, member) === Distance.SameZone
+					);
+				});
+			}
+
+			this.wasIdle = isIdle;
+		});
+	}
+
 	private broadcast(): void {
 		const {gossip, hub} = this.deps;
 		const load = this.deps.report();
--- a/src/routing/__tests__/zone-model.ts
+++ b/src/routing/__tests__/zone-model.ts
@@ -177,8 +177,9 @@
 			const isKnown = this.isReachable(zone, index, at) || this.isReachable(zone, index, at - 1000);
 			if (index !== zone && isKnown) {
 				const far = loss(0, roundTrip) + transferLoss;
-				const {room} = figures;
-				others.push({zone: String(index), slots: this.slots(index), room, age, loss: far});
+				const {room, foreign: otherLoad} = figures;
+				const slots = this.slots(index);
+				others.push({zone: String(index), slots, room, otherLoad, age, loss: far});
 			}
 		}
 
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -1,4 +1,4 @@
-import {RefusalReason, type LoadReport} from '../call/index.js';
+import {RefusalReason, type LoadReport, type ZoneReport} from '../call/index.js';
 import {minute, second, type Clock, type Millis} from '../clock/index.js';
 import {Mechanism, type DisabledMechanisms} from '../experiment/index.js';
 import {
@@ -97,7 +97,9 @@
 const maxRateWait: Millis = minute;
 
 /** Loss of the own callers of a zone that is short, when a call of another zone takes a slot there. */
-const displacementLoss = 0.5;
+const displacementLoss = 0.25;
+/** Loss that a call may incur by leaving a zone that is short: what the calls behind it lose less. */
+const leavingGain = 0.2;
 /** Weight of one sample in the mean extra time of an executor, and its bounds relative to the work. */
 const extraTimeWeight = 0.1;
 const minExtraShare = -0.5;
@@ -216,6 +218,15 @@
 		return service === '' ? undefined : this.zones?.room(service);
 	}
 
+	/**
+	 * @param load - recent mean of the calls at the local executor, per slot.
+	 * @param otherLoad - the part that other zones have sent.
+	 * @returns what the local executor reports of its zone; undefined if no decision is made.
+	 */
+	reportZone(load: number, otherLoad: number): ZoneReport | undefined {
+		return this.zones?.report(load, otherLoad);
+	}
+
 	/**
 	 * @param instance - instance of a node.
 	 * @returns whether the node is known and in another availability zone.
@@ -277,47 +288,30 @@
 			directory,
 			self,
 			views: this.views,
-			slowdownOf: (view, now) => this.slowdownOf(view, now),
 			roundTripOf: (distance) => roundTrips[distance],
 			transferLoss: (...transfer) => this.transferLoss(...transfer),
 			onChange: onSpilloverChange,
 		});
 	}
 
-	private chooseByPlan(query: PlacementQuery, plan: ZonePlan): Member | undefined {
-		const {destination, urgentDestination, unlimited} = plan;
+	private chooseByPlan(query: PlacementQuery, {destination, closed}: ZonePlan): Member | undefined {
 		const ownZone = zoneOf(this.deps.self());
-		const own = this.findBest(query, (member) => {
-			const zone = zoneOf(member);
-			return zone === ownZone || unlimited.has(zone);
-		});
-		const ownLoss = own?.loss ?? avoidLoss;
-		const member =
-			this.tryZone(query, destination, ownLoss + displacementLoss) ??
-			this.tryZone(query, urgentDestination, ownLoss - displacementLoss);
-		if (member) {
-			return member;
-		}
-
-		return ownLoss < avoidLoss ? own?.member : this.findBest(query)?.member;
-	}
-
-	private tryZone(
-		query: PlacementQuery,
-		zone: string | undefined,
-		maxLoss: number,
-	): Member | undefined {
-		if (zone === undefined) {
-			return undefined;
+		const best = this.findBest(query, (member) => !closed.has(zoneOf(member)));
+		if (!best) {
+			return this.findBest(query)?.member;
 		}
 
-		const best = this.findBest(query, (member) => zoneOf(member) === zone);
-		if (!best || best.loss >= maxLoss) {
-			return undefined;
+		const zone = zoneOf(best.member);
+		const other =
+			destination === undefined || zone !== ownZone
+				? undefined
+				: this.findBest(query, (member) => zoneOf(member) === destination);
+		const chosen = other && other.loss < best.loss + leavingGain ? other : best;
+		if (zoneOf(chosen.member) !== ownZone) {
+			this.zones?.recordLeaving(query.service, zoneOf(chosen.member));
 		}
 
-		this.zones?.recordLeaving(query.service, zone);
-		return best.member;
+		return chosen.member;
 	}
 
 	private findHedge(query: PlacementQuery): Evaluation | undefined {
--- a/src/routing/zone-decisions.ts
+++ b/src/routing/zone-decisions.ts
@@ -1,3 +1,4 @@
+import type {ZoneReport} from '../call/index.js';
 import type {Clock, Millis} from '../clock/index.js';
 import {
 	type Distance,
@@ -31,8 +32,6 @@
 	readonly directory: Directory;
 	readonly views: ExecutorViews;
 	readonly self: () => Member;
-	/** @returns the expected slowdown of an executor. */
-	slowdownOf(view: ExecutorView, now: Millis): number;
 	/** @returns the usual network time of an attempt there and back, in ms. */
 	roundTripOf(distance: Distance): Millis;
 	/** @returns the loss by the transfer of bytes, for a request of a priority. */
@@ -41,14 +40,15 @@
 	onChange?(change: SpilloverChange): void;
 }
 
-/** What the decisions say about one call. */
+/** What the decisions say about one call while the own zone is short. */
 export interface ZonePlan {
-	/** Zone that the call may go to besides the own one; undefined for none. */
+	/** Zone that the call leaves for, unless it loses much by that; undefined for none. */
 	readonly destination: string | undefined;
-	/** Zone that the call may go to if it would be lost in the own one; undefined for none. */
-	readonly urgentDestination: string | undefined;
-	/** Zones whose executors never report the room there, as older nodes; they are open to all calls. */
-	readonly unlimited: ReadonlySet<string>;
+	/**
+	 * Zones that the call must not go to, although it may lose less there. All nodes would choose them by the same
+	 * figure; only the part of the calls that the reported room can take goes there.
+	 */
+	readonly closed: ReadonlySet<string>;
 }
 
 /** State of the decision about one service, for operators. */
@@ -61,6 +61,7 @@
 	readonly others: readonly OtherZone[];
 }
 
+type LocalLoad = {readonly service: string; readonly load: number; readonly otherLoad: number};
 type ZoneMembers = ReadonlyMap<string, readonly Member[]>;
 type Mix = {work: Millis; objective: Millis; timeLeft: Millis; bytes: number; priority: number};
 type ServiceState = {
@@ -72,15 +73,18 @@
 	revision: number;
 	own: OwnZoneLoad;
 	others: readonly OtherZone[];
-	unlimited: ReadonlySet<string>;
 	isShort: boolean;
 	isLeaving: boolean;
 };
 
 /** Weight of a call in the moving means of its service. */
 const mixWeight = 0.05;
+/** Mean age of the figures of a zone when they are reported, in ms: they are averages, and sent at intervals. */
+const figureAge: Millis = 500;
 /** Time constant with which a load report loses weight in the figures of its zone, in ms. */
 const reportWeightTime: Millis = 1500;
+/** Room from which calls may leave for a zone by their expected loss, beyond the share that is decided. */
+const minOpenRoom = -0.9;
 /** Maximum number of calls that may leave later because they had to stay. */
 const maxCredit = 2;
 /** Share from which calls count as leaving in the log. */
@@ -102,6 +106,7 @@
  */
 export class ZoneDecisions {
 	private readonly states = new Map<string, ServiceState>();
+	private local: LocalLoad | undefined;
 
 	constructor(private readonly deps: ZoneDecisionsDependencies) {}
 
@@ -120,17 +125,23 @@
 			return undefined;
 		}
 
-		const {spillover, credits, urgentCredits, unlimited} = state;
+		const {spillover, credits, urgentCredits} = state;
 		if (query.excluded.size === 0) {
+			const figures = {...state, now: this.deps.clock.now(), responseTime: responseTimeOf(state)};
 			for (const other of state.others) {
 				addCredit(credits, other.zone, spillover.shares.get(other.zone) ?? 0);
-				addCredit(urgentCredits, other.zone, spillover.urgentShare(state, other));
+				addCredit(urgentCredits, other.zone, spillover.urgentShare(figures, other));
+			}
+		}
+
+		const closed = new Set<string>();
+		for (const {zone, room = 0} of state.others) {
+			if (room < minOpenRoom && (urgentCredits.get(zone) ?? 0) < 1) {
+				closed.add(zone);
 			}
 		}
 
-		const destination = largestCredit(credits, state.others);
-		const urgentDestination = largestCredit(urgentCredits, state.others);
-		return {destination, urgentDestination, unlimited};
+		return {destination: largestCredit(credits, state.others), closed};
 	}
 
 	/**
@@ -183,6 +194,25 @@
 		return state.spillover.room;
 	}
 
+	/**
+	 * @param load - recent mean of the calls at the local executor, per slot.
+	 * @param otherLoad - the part that other zones have sent.
+	 * @returns what the local executor reports of its zone; undefined while there is no decision.
+	 */
+	report(load: number, otherLoad: number): ZoneReport | undefined {
+		const {service, id, slots} = this.deps.self();
+		this.local = {service, load, otherLoad};
+		const room = service === '' ? undefined : this.room(service);
+		const own = this.states.get(service)?.own;
+		if (room === undefined || !own || slots === 0) {
+			return undefined;
+		}
+
+		const isKnown = this.deps.directory.get(id) !== undefined;
+		const zone = isKnown ? own : {load, foreignLoad: otherLoad};
+		return {room, load, otherLoad, zoneLoad: zone.load, zoneOtherLoad: zone.foreignLoad};
+	}
+
 	/**
 	 * Records that an executor was lost or could not be reached.
 	 * @param id - the executor.
@@ -225,7 +255,6 @@
 				revision: -1,
 				own: noLoad,
 				others: [],
-				unlimited: new Set(),
 				isShort: false,
 				isLeaving: false,
 			};
@@ -271,7 +300,7 @@
 			now,
 			own: state.own,
 			others: state.others,
-			responseTime: Math.max(1, state.mix?.work ?? 1),
+			responseTime: responseTimeOf(state),
 			ownLoss: (load) => this.ownLoss(state, load),
 		});
 		this.reportChange(service, state);
@@ -310,77 +339,94 @@
 		state.revision = directory.changeCount;
 	}
 
-	// A backend server in a slow period counts for the part of its slots that its speed leaves: its calls take longer,
-	// so that fewer of them are demand.
-	private ownLoad({members}: ServiceState, now: Millis): OwnZoneLoad {
-		const {views, self} = this.deps;
-		let [slots, knownSlots, load, foreign, age, weights] = [0, 0, 0, 0, 0, 0];
-		for (const member of members.get(zoneOf(self())) ?? []) {
-			const view = views.of(member.id);
-			const report = view.load;
-			const slowdown = Math.max(1, this.deps.slowdownOf(view, now));
-			const usable = (report?.slots ?? member.slots) / slowdown;
-			slots += usable;
-			if (report) {
-				const reportAge = now - view.reportedAt;
-				const weight = Math.exp(-reportAge / reportWeightTime);
-				const sent = view.outstanding - view.outstandingAtReport;
-				const calls = Math.max(0, report.inFlight + report.queued + sent);
-				load += (weight * calls) / slowdown;
-				foreign += (weight * (report.otherZoneCalls ?? 0)) / slowdown;
-				knownSlots += weight * usable;
-				age += weight * reportAge;
+	// An executor knows the loads of the others of its service; other nodes know what these report of the zone.
+	private ownLoad(state: ServiceState, now: Millis): OwnZoneLoad {
+		const members = state.members.get(zoneOf(this.deps.self())) ?? [];
+		let slots = 0;
+		for (const member of members) {
+			slots += member.slots;
+		}
+
+		const local = this.local?.service === members[0]?.service ? this.local : undefined;
+		if (local) {
+			return {...this.zoneLoad(members, local, now), slots, age: figureAge};
+		}
+
+		const view = this.latestReport(members);
+		const zone = view?.load?.zone;
+		if (!view || !zone) {
+			return {...noLoad, slots};
+		}
+
+		const {zoneLoad: load, zoneOtherLoad: foreignLoad} = zone;
+		return {load, foreignLoad, slots, age: now - view.reportedAt + figureAge};
+	}
+
+	// Mean over the executors, weighted by their slots and by how recent their reports are.
+	private zoneLoad(
+		members: readonly Member[],
+		local: LocalLoad,
+		now: Millis,
+	): Pick<OwnZoneLoad, 'load' | 'foreignLoad'> {
+		let [load, foreignLoad, weights] = [0, 0, 0];
+		for (const {id, slots} of members) {
+			const isLocal = id === this.deps.self().id;
+			const {load: report, reportedAt} = this.deps.views.of(id);
+			const figures = isLocal ? local : report?.zone;
+			if (figures) {
+				const age = isLocal ? 0 : now - reportedAt;
+				const weight = slots * Math.exp(-age / reportWeightTime);
+				load += weight * figures.load;
+				foreignLoad += weight * figures.otherLoad;
 				weights += weight;
 			}
 		}
 
-		if (weights === 0) {
-			return {...noLoad, slots};
+		return weights === 0
+			? {load: 0, foreignLoad: 0}
+			: {load: load / weights, foreignLoad: foreignLoad / weights};
+	}
+
+	private latestReport(members: readonly Member[]): ExecutorView | undefined {
+		let latest: ExecutorView | undefined;
+		for (const {id} of members) {
+			const view = this.deps.views.of(id);
+			if (view.load?.zone && (!latest || view.reportedAt > latest.reportedAt)) {
+				latest = view;
+			}
 		}
 
-		return {
-			load: load / knownSlots,
-			foreignLoad: foreign / knownSlots,
-			slots,
-			age: age / weights,
-		};
+		return latest;
 	}
 
 	private updateOthers(state: ServiceState, now: Millis): void {
 		const own = zoneOf(this.deps.self());
 		const others: OtherZone[] = [];
-		const unlimited = new Set<string>();
 		for (const [zone, members] of state.members) {
 			const report = this.reportedRoom(members, now);
-			if (zone !== own && report.room === undefined) {
-				unlimited.add(zone);
-			} else if (zone !== own) {
+			// A zone of older nodes never reports its room; calls go there by their expected loss alone.
+			if (zone !== own && report.room !== undefined) {
 				others.push({zone, loss: this.leavingLoss(members, state.mix), ...report});
 			}
 		}
 
 		state.others = others;
-		state.unlimited = unlimited;
 	}
 
 	// Every executor of a zone reports the room of the whole zone; the latest report counts.
 	private reportedRoom(
 		members: readonly Member[],
 		now: Millis,
-	): Pick<OtherZone, 'slots' | 'room' | 'age'> {
+	): Pick<OtherZone, 'slots' | 'room' | 'otherLoad' | 'age'> {
 		let slots = 0;
-		let room: number | undefined;
-		let reportedAt = Number.NEGATIVE_INFINITY;
 		for (const member of members) {
-			const view = this.deps.views.of(member.id);
 			slots += member.slots;
-			if (view.load?.zoneRoom !== undefined && view.reportedAt > reportedAt) {
-				room = view.load.zoneRoom;
-				reportedAt = view.reportedAt;
-			}
 		}
 
-		return {slots, room, age: room === undefined ? 0 : now - reportedAt};
+		const view = this.latestReport(members);
+		const zone = view?.load?.zone;
+		const age = view ? now - view.reportedAt + figureAge : 0;
+		return {slots, room: zone?.room, otherLoad: zone?.zoneOtherLoad ?? 0, age};
 	}
 
 	private leavingLoss(members: readonly Member[], mix: Mix | undefined): number {
@@ -421,6 +467,10 @@
 	}
 }
 
+function responseTimeOf({mix}: ServiceState): Millis {
+	return Math.max(1, mix?.work ?? 1);
+}
+
 function addCredit(credits: Map<string, number>, zone: string, share: number): void {
 	credits.set(zone, Math.max(-maxCredit, Math.min(maxCredit, (credits.get(zone) ?? 0) + share)));
 }
--- a/src/routing/zone-spillover.ts
+++ b/src/routing/zone-spillover.ts
@@ -21,12 +21,15 @@
 	 * {@link noRoom} while it is short for its own callers. Undefined while no report of it is known.
 	 */
 	readonly room: number | undefined;
+	/** Calls per slot that callers of other zones have there, by the same report. */
+	readonly otherLoad: number;
 	/** Age of the report, in ms. */
 	readonly age: Millis;
 	/** Expected loss of a typical call that is sent there, including the transfer cost. */
 	readonly loss: number;
 }
 
+type FigureInput = Pick<SpilloverInput, 'now' | 'own' | 'others' | 'responseTime'>;
 type Step = {
 	readonly at: Millis;
 	readonly total: number;
@@ -67,6 +70,8 @@
 const maxLeavingLoss = 0.5;
 /** Highest share that leaves: own executors must keep calls, as these bring their load reports. */
 const maxShare = 0.95;
+/** Lack of capacity from which a zone that had enough counts as short. */
+const minShortage = 0.05;
 /** Share below which no call leaves; smaller ones are noise. */
 const minShare = 0.01;
 /** Steps make up for a difference in this multiple of the time after which their effect is seen. */
@@ -80,6 +85,9 @@
 const maxObservedLoad = 1.25;
 /** Share of the other zone's slots that callers of all other zones leave free for its own callers. */
 const reservedRoom = 0.06;
+/** Load by other zones, and own share of the calls there, from which the effect of a share is known. */
+const minOtherLoad = 0.05;
+const minScaledShare = 0.02;
 /** Share that is tried in a zone of which nothing is known. */
 const maxTrialShare = 0.05;
 /** Number of zones that are assumed to fill the room of another one at the same time, at most. */
@@ -180,7 +188,7 @@
 		this.step(input, wanted, ahead, interval);
 		const sent = this.share;
 		this.remember(now);
-		const isShort = sent > minShare || wanted > minShare;
+		const isShort = wanted > (this.isShort ? 0 : minShortage) || sent > minShare;
 		const total = own.load + (ahead - this.ownDemand) * (1 - sent);
 		this.freeShare = isShort ? noRoom : Math.max(noRoom / 2, target - total);
 		return true;
@@ -204,10 +212,9 @@
 	 * @param other - the other zone.
 	 * @returns the share, from 0 to 1.
 	 */
-	urgentShare(input: Pick<SpilloverInput, 'own' | 'others'>, other: OtherZone): number {
-		const room = knownRoom(other) ?? 0;
-		const free = Math.max(0, room - reservedRoom);
-		return Math.min(1, this.shareOfRoom(input, other, free, this.ownDemand));
+	urgentShare(input: FigureInput, other: OtherZone): number {
+		const share = this.destinations.get(other.zone) ?? 0;
+		return Math.min(1, Math.max(0, this.mostFor(input, other, this.ownDemand) - share));
 	}
 
 	private setShare(zone: string, share: number): void {
@@ -261,7 +268,7 @@
 	}
 
 	// Room that is left once the calls have arrived that were sent after the report was made.
-	private roomLeft(input: SpilloverInput, other: OtherZone, ahead: number): number | undefined {
+	private roomLeft(input: FigureInput, other: OtherZone, ahead: number): number | undefined {
 		const room = knownRoom(other);
 		if (room === undefined || room === noRoom) {
 			return room;
@@ -315,7 +322,7 @@
 
 	// Share of the own calls that fills a part of the slots of another zone.
 	private shareOfRoom(
-		{own, others}: Pick<SpilloverInput, 'own' | 'others'>,
+		{own, others}: FigureInput,
 		{slots}: OtherZone,
 		room: number,
 		ahead: number,
@@ -328,7 +335,10 @@
 	// by a part of the difference.
 	private step(input: SpilloverInput, wanted: number, ahead: number, interval: Millis): void {
 		const {own, others, responseTime} = input;
-		const ownGain = Math.min(1, interval / (responseTime + own.age + minStepInterval));
+		const ownGain = Math.min(
+			1,
+			interval / (stepFactor * (responseTime + own.age) + minStepInterval),
+		);
 		const limit = (maxRate * interval) / second;
 		let rest = wanted;
 		for (const other of byLoss(others)) {
@@ -345,18 +355,26 @@
 		}
 	}
 
-	private mostFor(input: SpilloverInput, other: OtherZone, ahead: number): number {
-		const share = this.destinations.get(other.zone) ?? 0;
-		if (other.loss >= maxLeavingLoss) {
+	// Share that fills the other zone. Its calls of other zones and its room are known from the same report, so that
+	// all senders together fill it if each scales its share of that time, however many they are.
+	private mostFor(input: FigureInput, other: OtherZone, ahead: number): number {
+		const {zone, otherLoad, age, loss} = other;
+		const share = this.destinations.get(zone) ?? 0;
+		if (loss >= maxLeavingLoss) {
 			return 0;
 		}
 
 		const room = this.roomLeft(input, other, ahead);
 		if (room === undefined) {
-			return Math.max(share, maxTrialShare);
+			return Math.max(Math.min(share, maxTrialShare), maxTrialShare);
 		}
 
-		return share + this.shareOfRoom(input, other, Math.max(0, room - reservedRoom), ahead);
+		const free = Math.max(0, room - reservedRoom);
+		const least = share + this.shareOfRoom(input, other, free, ahead);
+		const earlier = this.stepAt(input.now - age - input.responseTime)?.shares.get(zone) ?? 0;
+		const reported = Math.max(0, (knownRoom(other) ?? 0) - reservedRoom);
+		const isInUse = otherLoad >= minOtherLoad && earlier >= minScaledShare && reported > 0;
+		return isInUse ? Math.max(least, earlier * (1 + reported / otherLoad)) : least;
 	}
 }
 
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -206,6 +206,7 @@
 		this.roster.start();
 		await this.operatorServer.listen(address, operatorPort);
 		this.probe.start();
+		this.startZoneReports();
 		this.findBackend();
 		this.checkReady();
 	}
@@ -250,6 +251,12 @@
 		return isClean;
 	}
 
+	private startZoneReports(): void {
+		if (this.placement?.zones) {
+			this.loadBroadcaster.startZoneReports();
+		}
+	}
+
 	private findBackend(): void {
 		const {clock, logger} = this;
 		const {endpoint, service} = this.settings.backend;
@@ -270,6 +277,7 @@
 			zoneGuard: {
 				isFromOtherZone: (instance) => this.placement?.isFromOtherZone(instance) ?? false,
 				roomForOtherZones: () => this.placement?.roomForOtherZones(),
+				reportZone: (...loads) => this.placement?.reportZone(...loads),
 			},
 			createPlacement: (core) => this.createPlacement(core),
 			budgetBursts: () => this.budgetBursts(),
