--- a/src/bin/turmericctl.ts
+++ b/src/bin/turmericctl.ts
@@ -15,7 +15,7 @@
 	subcommands,
 } from 'cmd-ts';
 import {request} from 'undici';
-import {PlatformStore} from '../../platform/index.js';
+import {digestKey, PlatformStore} from '../../platform/index.js';
 import {second} from '../clock/index.js';
 import {DeclarationStore} from '../control/index.js';
 import {
@@ -30,6 +30,8 @@
 import {
 	ApplyOutcome,
 	ChangeApplier,
+	formatExplanation,
+	isExplanation,
 	readDeclarationFolder,
 	type ApplyResult,
 } from '../operator/index.js';
@@ -306,12 +308,13 @@
 	node: string,
 	method: 'GET' | 'POST' | 'DELETE',
 	path: string,
+	body?: string,
 ): Promise<string> {
 	if (!parseEndpoint(node)) {
 		throw new UsageError(`"${node}" is not IP:port`);
 	}
 
-	const res = await request(`http://${node}${path}`, {method});
+	const res = await request(`http://${node}${path}`, {method, body});
 	return res.body.text();
 }
 
@@ -351,12 +354,65 @@
 		}),
 });
 
+const explain = command({
+	name: 'explain',
+	description: 'Shows where a node would send a request now and why, without sending it.',
+	args: {
+		node: nodeArgument,
+		url: positional({type: string, displayName: 'HOST/PATH', description: 'as in a.example/x/1'}),
+		key: option({type: optional(string), long: 'key', description: 'key of a customer'}),
+		bytes: option({
+			type: number,
+			long: 'bytes',
+			defaultValue: () => 0,
+			description: 'size of the body',
+		}),
+		timeLeft: option({
+			type: optional(number),
+			long: 'time-left',
+			description: 'how long the caller waits, in ms',
+		}),
+		json,
+	},
+	handler: async ({node, url, key, bytes, timeLeft, json: isJson}) =>
+		runAndReport(isJson, async () => {
+			const slash = url.indexOf('/');
+			if (slash < 1) {
+				throw new UsageError(`"${url}" is not HOST/PATH`);
+			}
+
+			// Only the digest of the key leaves this process.
+			const keyDigest = key === undefined ? undefined : digestKey(key);
+			const [host, path] = [url.slice(0, slash), url.slice(slash)];
+			const question = JSON.stringify({host, path, keyDigest, bodyBytes: bytes, timeLeft});
+			const reply = await requestNode(node, 'POST', '/v1/explain', question);
+			const explanation: unknown = JSON.parse(reply);
+			if (!isExplanation(explanation)) {
+				throw new Error(reply);
+			}
+
+			write(isJson, explanation, formatExplanation(explanation));
+			return ExitCode.Ok;
+		}),
+});
+
 const program = subcommands({
 	name: 'turmericctl',
 	description:
 		'Manages a deployment: applies declaration files, shows revisions and controls nodes.',
 	version: packageVersion(),
-	cmds: {check, plan, apply, status, history, diff, drain, holds, 'retire-zone': retireZone},
+	cmds: {
+		check,
+		plan,
+		apply,
+		status,
+		history,
+		diff,
+		drain,
+		explain,
+		holds,
+		'retire-zone': retireZone,
+	},
 });
 
 await run(program, process.argv.slice(2));
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -14,7 +14,7 @@
 } from '../exchange/index.js';
 import {Mechanism, type DisabledMechanisms} from '../experiment/index.js';
 import type {Member} from '../membership/index.js';
-import type {Placement, PlacementQuery} from '../routing/index.js';
+import {callKind, type Placement, type PlacementQuery} from '../routing/index.js';
 import {logEvents, RetryReason, type Logger, type Metrics} from '../telemetry/index.js';
 import {pause} from '../util/index.js';
 import {CallBudgets, type BudgetBursts} from './call-budgets.js';
@@ -210,7 +210,7 @@
 		const {head, deadline, objective, body} = call;
 		return {
 			service: head.service,
-			kind: `${head.service} ${head.origin.route}`,
+			kind: callKind(head.service, head.origin.route),
 			priority: head.origin.priority,
 			isIdempotent: head.isIdempotent,
 			timeLeft: deadline.timeLeft(now),
--- a/src/operator/index.ts
+++ b/src/operator/index.ts
@@ -5,3 +5,4 @@
 	type ChangeRequest,
 } from './change-applier.js';
 export {readDeclarationFolder} from './declaration-folder.js';
+export {formatExplanation, isExplanation, type ExplanationReply} from './explanation-text.js';
--- a/src/routing/executor-sampler.ts
+++ b/src/routing/executor-sampler.ts
@@ -1,11 +1,6 @@
-import {
-	Distance,
-	distanceBetween,
-	isRoutable,
-	type Directory,
-	type Member,
-} from '../membership/index.js';
+import {Distance, distanceBetween, type Directory, type Member} from '../membership/index.js';
 import type {Random} from '../random/index.js';
+import {findExclusion} from './exclusions.js';
 import type {PlacementQuery} from './placement.js';
 
 /** Maximum number of members of a large service that one choice evaluates, by distance. */
@@ -51,16 +46,11 @@
 	 * @param isIncluded - restricts the sample; undefined for no restriction.
 	 * @returns the sampled routable members.
 	 */
-	sample(
-		{service, excluded, allowedRegions}: SampleQuery,
-		isIncluded?: (member: Member) => boolean,
-	): Iterable<Member> {
+	sample(query: SampleQuery, isIncluded?: (member: Member) => boolean): Iterable<Member> {
+		const {service} = query;
 		const {size, byDistance} = this.membersOf(service);
 		const canServe = (member: Member) =>
-			isRoutable(member) &&
-			!excluded.has(member.id) &&
-			(allowedRegions?.includes(member.region) ?? true) &&
-			(isIncluded?.(member) ?? true);
+			findExclusion(member, query) === undefined && (isIncluded?.(member) ?? true);
 		const sampled = new Set<Member>();
 		const isSmall = size <= this.maxSmallServiceSize;
 		for (const distance of [Distance.SameZone, Distance.SameRegion, Distance.OtherRegion]) {
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -5,7 +5,7 @@
 	StaleReportPolicy,
 } from './baselines.js';
 export {findCandidates, isOtherRegionNeeded, type Candidates} from './candidates.js';
-export type {AttemptOutcome, Placement, PlacementQuery} from './placement.js';
+export {callKind, type AttemptOutcome, type Placement, type PlacementQuery} from './placement.js';
 export {
 	ObjectivePlacement,
 	type ObjectivePlacementDependencies,
@@ -19,6 +19,8 @@
 	type ZoneFigures,
 	type ZonePlan,
 } from './zone-decisions.js';
+export {Exclusion, findExclusion} from './exclusions.js';
+export type {CandidateExplanation, LossParts, PlacementExplanation} from './explanation.js';
 export {noRoom} from './zone-spillover.js';
 export {WeightedSplit} from './weighted-split.js';
 export {ExpectedWaitPolicy} from './expected-wait-policy.js';
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -11,7 +11,14 @@
 import type {Random} from '../random/index.js';
 import {CallProfiles, isUsualSpeed} from './call-profiles.js';
 import {ExecutorSampler} from './executor-sampler.js';
+import {findExclusion} from './exclusions.js';
 import {expectedLoss, expectedTime} from './expected-time.js';
+import type {
+	CandidateExplanation,
+	Evaluation,
+	LossParts,
+	PlacementExplanation,
+} from './explanation.js';
 import {ExecutorViews, type ExecutorView} from './executor-view.js';
 import {ZoneDecisions, zoneOf, type SpilloverChange, type ZonePlan} from './zone-decisions.js';
 import type {AttemptOutcome, Placement, PlacementQuery} from './placement.js';
@@ -105,8 +112,6 @@
 const minExtraShare = -0.5;
 const maxExtraShare = 2;
 
-type Evaluation = {readonly member: Member; readonly time: Millis; readonly loss: number};
-
 /**
  * Chooses the executor with the least expected loss, which combines the probability of a late answer
  * with the transfer cost. As load shifts within milliseconds, the reported speed and load of an
@@ -131,7 +136,49 @@
 
 	choose(query: PlacementQuery): Member | undefined {
 		const plan = this.zones?.plan(query, this.profiles.of(query.kind, query.objective));
-		return plan ? this.chooseByPlan(query, plan) : this.findBest(query)?.member;
+		const member = this.decide(query, plan)?.member;
+		if (plan && member && zoneOf(member) !== zoneOf(this.deps.self())) {
+			this.zones?.recordLeaving(query.service, zoneOf(member));
+		}
+
+		return member;
+	}
+
+	/**
+	 * @param query - a call.
+	 * @returns where {@link choose} would send the call now, and why. Of a large service, the choice evaluates a random
+	 * sample only.
+	 */
+	explain(query: PlacementQuery): PlacementExplanation {
+		const plan = this.zones?.preview(query);
+		const chosen = this.decide(query, plan)?.member;
+		const now = this.deps.clock.now();
+		const candidates: CandidateExplanation[] = [];
+		for (const member of this.deps.directory.ofService(query.service)) {
+			const {time, loss, parts} = this.evaluate(query, member);
+			const {id, region, zone} = member;
+			const {load, reportedAt} = this.views.of(id);
+			candidates.push({
+				id,
+				region,
+				zone,
+				exclusion: findExclusion(member, query),
+				isZoneClosed: plan?.closed.has(zoneOf(member)) ?? false,
+				time,
+				loss,
+				parts,
+				reportAge: load && now - reportedAt,
+			});
+		}
+
+		candidates.sort((a, b) => a.loss - b.loss);
+		return {
+			chosen: chosen?.id,
+			refusal: chosen ? undefined : this.noExecutorReason(query),
+			candidates,
+			destination: plan?.destination,
+			zones: this.zones?.figures(query.service),
+		};
 	}
 
 	noExecutorReason(query: PlacementQuery): RefusalReason {
@@ -294,24 +341,24 @@
 		});
 	}
 
-	private chooseByPlan(query: PlacementQuery, {destination, closed}: ZonePlan): Member | undefined {
-		const ownZone = zoneOf(this.deps.self());
+	// The choice of an executor; nothing is recorded.
+	private decide(query: PlacementQuery, plan: ZonePlan | undefined): Evaluation | undefined {
+		if (!plan) {
+			return this.findBest(query);
+		}
+
+		const {destination, closed} = plan;
 		const best = this.findBest(query, (member) => !closed.has(zoneOf(member)));
 		if (!best) {
-			return this.findBest(query)?.member;
+			return this.findBest(query);
 		}
 
-		const zone = zoneOf(best.member);
+		const isAtHome = zoneOf(best.member) === zoneOf(this.deps.self());
 		const other =
-			destination === undefined || zone !== ownZone
-				? undefined
-				: this.findBest(query, (member) => zoneOf(member) === destination);
-		const chosen = other && other.loss < best.loss + leavingGain ? other : best;
-		if (zoneOf(chosen.member) !== ownZone) {
-			this.zones?.recordLeaving(query.service, zoneOf(chosen.member));
-		}
-
-		return chosen.member;
+			destination !== undefined && isAtHome
+				? this.findBest(query, (member) => zoneOf(member) === destination)
+				: undefined;
+		return other && other.loss < best.loss + leavingGain ? other : best;
 	}
 
 	private findHedge(query: PlacementQuery): Evaluation | undefined {
@@ -353,16 +400,18 @@
 			rateWait: disabled?.has(Mechanism.RateReport) ? 0 : rateWaitOf(view, now),
 		});
 		const {objectiveLeft, timeLeft} = query;
-		const lateness = expectedLoss({expected: time, objectiveLeft, timeLeft});
 		const bytes = overheadBytes + query.requestBytes + profile.answerBytes;
-		const loss =
-			lateness +
-			this.transferLoss(distance, bytes, query.priority) +
-			(timeLoss * time) / Math.max(1, objectiveLeft) +
-			(disabled?.has(Mechanism.FailureLoss) ? 0 : failureLoss(view, now)) +
-			(now < view.avoidUntil ? avoidLoss : 0) +
-			(this.zones?.isShort(member) ? displacementLoss : 0);
-		return {member, time, loss};
+		const parts: LossParts = {
+			lateness: expectedLoss({expected: time, objectiveLeft, timeLeft}),
+			transfer: this.transferLoss(distance, bytes, query.priority),
+			time: (timeLoss * time) / Math.max(1, objectiveLeft),
+			failure: disabled?.has(Mechanism.FailureLoss) ? 0 : failureLoss(view, now),
+			avoided: now < view.avoidUntil ? avoidLoss : 0,
+			shortZone: this.zones?.isShort(member) ? displacementLoss : 0,
+		};
+		const {lateness, transfer, failure, avoided, shortZone} = parts;
+		const loss = lateness + transfer + parts.time + failure + avoided + shortZone;
+		return {member, time, loss, parts};
 	}
 
 	// A report from before the start was already considered when the executor was chosen.
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -23,6 +23,15 @@
 	readonly allowedRegions?: readonly string[] | undefined;
 }
 
+/**
+ * @param service - service of a call.
+ * @param route - route of the call.
+ * @returns the kind of the call.
+ */
+export function callKind(service: string, route: string): string {
+	return `${service} ${route}`;
+}
+
 /** Result of an attempt, as used for later placements. */
 export interface AttemptOutcome {
 	readonly sentAt: Millis;
--- a/src/routing/zone-decisions.ts
+++ b/src/routing/zone-decisions.ts
@@ -119,29 +119,21 @@
 	 */
 	plan(query: PlacementQuery, profile: CallProfile): ZonePlan | undefined {
 		const state = this.stateOf(query.service);
-		this.addToMix(state, query, profile);
 		this.update(query.service, state);
-		if (!state.isShort) {
-			return undefined;
-		}
-
-		const {spillover, credits, urgentCredits} = state;
-		if (query.excluded.size === 0) {
-			const figures = {...state, now: this.deps.clock.now(), responseTime: responseTimeOf(state)};
-			for (const other of state.others) {
-				addCredit(credits, other.zone, spillover.shares.get(other.zone) ?? 0);
-				addCredit(urgentCredits, other.zone, spillover.urgentShare(figures, other));
-			}
-		}
-
-		const closed = new Set<string>();
-		for (const {zone, room = 0} of state.others) {
-			if (room < minOpenRoom && (urgentCredits.get(zone) ?? 0) < 1) {
-				closed.add(zone);
-			}
-		}
+		this.addToMix(state, query, profile);
+		return this.planOf(query, state);
+	}
 
-		return {destination: largestCredit(credits, state.others), closed};
+	/**
+	 * @param query - a call.
+	 * @returns what {@link plan} would say now, without recording the call.
+	 */
+	preview(query: PlacementQuery): ZonePlan | undefined {
+		const state = this.stateOf(query.service);
+		this.update(query.service, state);
+		const credits = new Map(state.credits);
+		const urgentCredits = new Map(state.urgentCredits);
+		return this.planOf(query, {...state, credits, urgentCredits});
 	}
 
 	/**
@@ -243,6 +235,31 @@
 		return this.states.keys();
 	}
 
+	// Adds the credit of the call.
+	private planOf(query: PlacementQuery, state: ServiceState): ZonePlan | undefined {
+		if (!state.isShort) {
+			return undefined;
+		}
+
+		const {spillover, credits, urgentCredits} = state;
+		if (query.excluded.size === 0) {
+			const figures = {...state, now: this.deps.clock.now(), responseTime: responseTimeOf(state)};
+			for (const other of state.others) {
+				addCredit(credits, other.zone, spillover.shares.get(other.zone) ?? 0);
+				addCredit(urgentCredits, other.zone, spillover.urgentShare(figures, other));
+			}
+		}
+
+		const closed = new Set<string>();
+		for (const {zone, room = 0} of state.others) {
+			if (room < minOpenRoom && (urgentCredits.get(zone) ?? 0) < 1) {
+				closed.add(zone);
+			}
+		}
+
+		return {destination: largestCredit(credits, state.others), closed};
+	}
+
 	private stateOf(service: string): ServiceState {
 		let state = this.states.get(service);
 		if (!state) {
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -22,12 +22,13 @@
 import {BackendProbe, type ProbeRate} from '../node/backend-probe.js';
 import {LoadBroadcaster} from '../node/load-broadcaster.js';
 import {NodeEvent, NodeState} from '../node/node-lifecycle.js';
-import {OperatorServer, textReply} from '../operations/index.js';
+import {jsonReply, OperatorServer, textReply} from '../operations/index.js';
 import {ObjectivePlacement, type SpilloverChange} from '../routing/index.js';
 import type {NodeSettings} from '../settings/index.js';
 import type {RestoreListener, RowFeed, TableService} from '../store/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 import {pause} from '../util/index.js';
+import {explainRequest, parseExplainedRequest} from './explain.js';
 import {NodeCore, type NodeCoreHooks} from './node-core.js';
 import {registerOperatorRoutes} from './operator-routes.js';
 
@@ -174,6 +175,7 @@
 			void this.roster.restoreRows();
 		});
 		registerOperatorRoutes(this.operatorServer, this);
+		this.registerExplain();
 		this.registerReadiness();
 		adapters.registerAnnouncements(this.announcementServer, this);
 	}
@@ -391,6 +393,13 @@
 		}
 	}
 
+	private registerExplain(): void {
+		this.operatorServer.registerHandler('POST /v1/explain', (body) => {
+			const index = this.core.isAcceptingCalls ? this.core.revisions.inForce : undefined;
+			return jsonReply(explainRequest(parseExplainedRequest(body), index, this.placement!));
+		});
+	}
+
 	private registerReadiness(): void {
 		this.readinessServer.registerHandler(this.adapters.readinessRoute, () => {
 			const isReady = this.state === NodeState.Ready;
