--- a/src/bin/turmericctl.ts
+++ b/src/bin/turmericctl.ts
@@ -15,7 +15,7 @@
 	subcommands,
 } from 'cmd-ts';
 import {request} from 'undici';
-import {PlatformStore} from '../../platform/index.js';
+import {digestKey, PlatformStore} from '../../platform/index.js';
 import {second} from '../clock/index.js';
 import {DeclarationStore} from '../control/index.js';
 import {
@@ -31,6 +31,8 @@
 	ApplyOutcome,
 	ChangeApplier,
 	formatCustomers,
+	formatExplanation,
+	isExplanation,
 	readDeclarationFolder,
 	type ApplyResult,
 	type CustomersReply,
@@ -309,12 +311,13 @@
 	node: string,
 	method: 'GET' | 'POST' | 'DELETE',
 	path: string,
+	body?: string,
 ): Promise<string> {
 	if (!parseEndpoint(node)) {
 		throw new UsageError(`"${node}" is not IP:port`);
 	}
 
-	const res = await request(`http://${node}${path}`, {method});
+	const res = await request(`http://${node}${path}`, {method, body});
 	return res.body.text();
 }
 
@@ -383,6 +386,48 @@
 		}),
 });
 
+const explain = command({
+	name: 'explain',
+	description: 'Shows where a node would send a request now and why, without sending it.',
+	args: {
+		node: nodeArgument,
+		url: positional({type: string, displayName: 'HOST/PATH', description: 'as in a.example/x/1'}),
+		key: option({type: optional(string), long: 'key', description: 'key of a customer'}),
+		bytes: option({
+			type: number,
+			long: 'bytes',
+			defaultValue: () => 0,
+			description: 'size of the body',
+		}),
+		timeLeft: option({
+			type: optional(number),
+			long: 'time-left',
+			description: 'how long the caller waits, in ms',
+		}),
+		json,
+	},
+	handler: async ({node, url, key, bytes, timeLeft, json: isJson}) =>
+		runAndReport(isJson, async () => {
+			const slash = url.indexOf('/');
+			if (slash < 1) {
+				throw new UsageError(`"${url}" is not HOST/PATH`);
+			}
+
+			// Only the digest of the key leaves this process.
+			const keyDigest = key === undefined ? undefined : digestKey(key);
+			const [host, path] = [url.slice(0, slash), url.slice(slash)];
+			const question = JSON.stringify({host, path, keyDigest, bodyBytes: bytes, timeLeft});
+			const reply = await requestNode(node, 'POST', '/v1/explain', question);
+			const explanation: unknown = JSON.parse(reply);
+			if (!isExplanation(explanation)) {
+				throw new Error(reply);
+			}
+
+			write(isJson, explanation, formatExplanation(explanation));
+			return ExitCode.Ok;
+		}),
+});
+
 const program = subcommands({
 	name: 'turmericctl',
 	description:
@@ -396,6 +441,7 @@
 		history,
 		diff,
 		drain,
+		explain,
 		holds,
 		zones,
 		customers,
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -2,6 +2,7 @@
 	Admission,
 	BackendSpeed,
 	CombinedStartLimit,
+	LoadAverage,
 	RateLimit,
 	Saturation,
 	shouldDelayStart,
@@ -16,6 +17,7 @@
 	type AttemptState,
 	type LoadReport,
 	type RequestHead,
+	type ZoneReport,
 } from '../call/index.js';
 import {minute, type Clock, type Millis} from '../clock/index.js';
 import {
@@ -53,6 +55,27 @@
 	recordBroken(fingerprints: readonly string[]): void;
 }
 
+/** Decision about the attempts that nodes of other availability zones send here. */
+export interface ZoneGuard {
+	/**
+	 * @param instance - instance of the node that has sent an attempt.
+	 * @returns whether the node is in another availability zone.
+	 */
+	isFromOtherZone(instance: string): boolean;
+	/**
+	 * @returns free share of the slots of the own zone for callers of other zones, -1 while the zone is short;
+	 * undefined if no decision is made.
+	 */
+	roomForOtherZones(): number | undefined;
+	/**
+	 * Records the load of the local executor.
+	 * @param load - recent mean of its calls per slot.
+	 * @param otherLoad - the part of other zones.
+	 * @returns what is reported of the zone; undefined if no decision is made.
+	 */
+	reportZone(load: number, otherLoad: number): ZoneReport | undefined;
+}
+
 export interface ExecutorDependencies {
 	readonly clock: Clock;
 	readonly metrics: Metrics;
@@ -64,6 +87,8 @@
 	readonly linkRate?: number | undefined;
 	/** Mechanisms that an experiment switches off. */
 	readonly disabled?: DisabledMechanisms;
+	/** Undefined if all attempts are treated alike, wherever they come from. */
+	readonly zoneGuard?: ZoneGuard | undefined;
 	/** @returns a sender of requests to a backend server. */
 	createSender(backend: BackendTarget): BackendSender;
 	/**
@@ -126,6 +151,10 @@
 const maxWorkShare = 0.75;
 /** How long load reports tell the bandwidth of the link after a streamed body has arrived. */
 const linkReportTime: Millis = minute;
+/** Room of the own zone below which attempts of other zones are refused unless a slot is free for them. */
+const minRoomForOtherZones = -0.9;
+/** Load per slot up to which an attempt of another zone takes no slot that own callers need at once. */
+const otherZoneLoadShare = 0.6;
 /** Load per slot at or below which a backend server that was reported as full is reported as free. */
 const freeLoadShare = 0.8;
 
@@ -148,6 +177,9 @@
 	private isDraining = false;
 	private isSweeping = false;
 	private isReportedFull = false;
+	private otherZoneCalls = 0;
+	private readonly loadAverage = new LoadAverage();
+	private readonly otherLoadAverage = new LoadAverage();
 	private lastRequestAt = Number.NEGATIVE_INFINITY;
 	private lastStreamAt = Number.NEGATIVE_INFINITY;
 	private warmUpSlowdown = 1;
@@ -252,7 +284,12 @@
 		const {linkRate} = this.deps;
 		const isReporting =
 			linkRate !== undefined && this.deps.clock.now() - this.lastStreamAt < linkReportTime;
-		return {...this.admission.report(), slowdown, ...(isReporting && {linkRate})};
+		return {
+			...this.admission.report(),
+			slowdown,
+			...(isReporting && {linkRate}),
+			...this.reportZone(),
+		};
 	}
 
 	/**
@@ -323,7 +360,13 @@
 	async run(attempt: Attempt): Promise<AttemptResult> {
 		this.lastRequestAt = this.deps.clock.now();
 		this.lastStreamAt = attempt.body.stream ? this.lastRequestAt : this.lastStreamAt;
-		const result = await this.admit(attempt);
+		const otherZoneCall = this.isFromOtherZone(attempt) ? 1 : 0;
+		this.otherZoneCalls += otherZoneCall;
+		const pending = this.admit(attempt);
+		this.recordAverages();
+		const result = await pending;
+		this.otherZoneCalls -= otherZoneCall;
+		this.recordAverages();
 		if (result.end === AttemptEnd.Refused) {
 			const {reason} = result;
 			if (reason === RefusalReason.BackendUnreachable || reason === RefusalReason.BackendReplaced) {
@@ -339,6 +382,38 @@
 		return result.end === AttemptEnd.Answered ? {...result, load: this.report()} : result;
 	}
 
+	private reportZone(): Pick<LoadReport, 'zone'> {
+		const now = this.deps.clock.now();
+		const load = this.loadAverage.at(now);
+		const zone = this.deps.zoneGuard?.reportZone(load, this.otherLoadAverage.at(now));
+		return zone ? {zone} : {};
+	}
+
+	private recordAverages(): void {
+		if (this.deps.zoneGuard) {
+			const now = this.deps.clock.now();
+			const slots = Math.max(1, this.limits.slots);
+			this.loadAverage.record(this.callCount / slots, now);
+			this.otherLoadAverage.record(this.otherZoneCalls / slots, now);
+		}
+	}
+
+	// Nothing of the body has been read yet. An attempt that cannot go elsewhere competes like those of own callers.
+	private zoneRefusal(attempt: Attempt): RefusalReason | undefined {
+		if (!attempt.canRetryElsewhere || !this.isFromOtherZone(attempt)) {
+			return undefined;
+		}
+
+		const room = this.deps.zoneGuard?.roomForOtherZones() ?? 0;
+		const {inFlight, queued, slots} = this.admission.report();
+		const hasSlot = inFlight + queued + 1 <= slots * otherZoneLoadShare;
+		return room < minRoomForOtherZones && !hasSlot ? RefusalReason.ZoneShort : undefined;
+	}
+
+	private isFromOtherZone({id}: Attempt): boolean {
+		return this.deps.zoneGuard?.isFromOtherZone(id.instance) ?? false;
+	}
+
 	private async admit(attempt: Attempt): Promise<AttemptResult> {
 		if (!this.ledger.admit(attempt.id, this.deps.clock.now())) {
 			return createRefused(RefusalReason.Fenced);
@@ -459,7 +534,9 @@
 		}
 
 		const isHeld = this.deps.crashWatch.isHeld(attempt.head.fingerprint);
-		return isHeld ? RefusalReason.Held : this.deps.checkPlace?.(attempt.head);
+		return isHeld
+			? RefusalReason.Held
+			: (this.deps.checkPlace?.(attempt.head) ?? this.zoneRefusal(attempt));
 	}
 
 	private async send(
--- a/src/link/__tests__/unit/frame-codec.test.ts
+++ b/src/link/__tests__/unit/frame-codec.test.ts
@@ -11,6 +11,7 @@
 	type Frame,
 } from '../../index.js';
 
+const zone = {room: 1, load: 1.25, otherLoad: 0.5, zoneLoad: 0.75, zoneOtherLoad: 0.1};
 const load = {
 	inFlight: 3,
 	queued: 1,
@@ -148,6 +149,12 @@
 		deflated: Buffer.from([1, 2]),
 		isDelta: true,
 	},
+	{type: FrameType.Load, load: {...load, zone: {...zone, room: 0.25}}},
+	{type: FrameType.Load, load: {...load, zone: {...zone, room: -1}}},
+	{
+		type: FrameType.Load,
+		load: {...load, rateLimit: 4.5, untilStart: 120, zone},
+	},
 	{type: FrameType.HandoverAck, correlationId: 4},
 ];
 
@@ -156,6 +163,23 @@
 		expect(decodeFrame(encodeFrame(frame))).toEqual(frame);
 	});
 
+	it('adds no bytes to a load report without a decision on zones, and appends its fields otherwise', () => {
+		// Builds from before these fields read the first eight and ignore the others.
+		const plain = unpack(encodeFrame({type: FrameType.Load, load})) as [number, unknown[]];
+		expect(plain[1]).toHaveLength(6);
+		const frame: Frame = {type: FrameType.Load, load: {...load, zone: {...zone, room: 0.5}}};
+		const [, fields] = unpack(encodeFrame(frame)) as [number, unknown[]];
+		expect(fields.slice(0, 6)).toEqual(plain[1]);
+		expect(fields.slice(6)).toEqual([undefined, undefined, undefined, 150, 125, 50, 75, 10]);
+	});
+
+	it('encodes a refusal by a short zone as busy for builds that do not know the reason', () => {
+		const reason = RefusalReason.ZoneShort;
+		const bytes = encodeFrame({type: FrameType.Refused, stream: 2, reason, load: undefined});
+		expect((unpack(bytes) as unknown[])[2]).toBe(RefusalReason.Busy);
+		expect(decodeFrame(bytes)).toMatchObject({reason});
+	});
+
 	it('encodes a refusal by a rate limit as busy for builds that do not know the reason', () => {
 		const reason = RefusalReason.RateLimited;
 		const bytes = encodeFrame({type: FrameType.Refused, stream: 2, reason, load: undefined});
--- a/src/link/frame-codec.ts
+++ b/src/link/frame-codec.ts
@@ -5,6 +5,7 @@
 	type HeaderList,
 	type LoadReport,
 	type RequestOrigin,
+	type ZoneReport,
 } from '../call/index.js';
 import {FrameType, OpenTarget, type Frame, type OpenFrame, type RefusedFrame} from './frame.js';
 
@@ -14,11 +15,13 @@
 }
 
 const packr = new Packr({useRecords: false});
+const percent = 100;
 const reasons = new Set<string>(Object.values(RefusalReason));
 /** Reasons that earlier builds cannot decode, with the reason that these read instead. */
 const earlierReasons: Readonly<Partial<Record<RefusalReason, RefusalReason>>> = {
 	[RefusalReason.RateLimited]: RefusalReason.Busy,
 	[RefusalReason.BackendCold]: RefusalReason.Busy,
+	[RefusalReason.ZoneShort]: RefusalReason.Busy,
 	[RefusalReason.ZoneEvacuated]: RefusalReason.Draining,
 	[RefusalReason.RegionNotAllowed]: RefusalReason.NoBackend,
 	[RefusalReason.UnknownKey]: RefusalReason.NoBackend,
@@ -52,7 +55,18 @@
 	const times = [round(serviceTime), round(failureShare), round(slowdown)];
 	const rates = rateLimit === undefined ? [] : [round(rateLimit), round(load.untilStart ?? 0)];
 	const fields = [inFlight, queued, slots, ...times, ...rates];
-	return load.linkRate === undefined ? fields : [...padded(fields, linkRateIndex), load.linkRate];
+	if (load.linkRate === undefined && load.zone === undefined) {
+		return fields;
+	}
+
+	const zone = load.zone === undefined ? [] : packZone(load.zone);
+	return [...padded(fields, linkRateIndex), load.linkRate, ...zone];
+}
+
+// In percent, as whole numbers are short. The room is shifted, as numbers on links are not negative.
+function packZone({room, load, otherLoad, zoneLoad, zoneOtherLoad}: ZoneReport): number[] {
+	const shares = [Math.min(1, Math.max(-1, room)) + 1, load, otherLoad, zoneLoad, zoneOtherLoad];
+	return shares.map((share) => Math.round(share * percent));
 }
 
 function packRefused({type, stream, reason, load}: RefusedFrame): readonly unknown[] {
@@ -287,6 +301,7 @@
 			rateLimit: fields.optionalNumber(),
 			untilStart: fields.optionalNumber(),
 			linkRate: fields.optionalNumber(),
+			...fields.zone(),
 		};
 	}
 
@@ -326,6 +341,18 @@
 		return this.number() === 0 ? OpenTarget.Executor : OpenTarget.KeyOwner;
 	}
 
+	zone(): Pick<LoadReport, 'zone'> {
+		const packedRoom = this.optionalNumber();
+		if (packedRoom === undefined) {
+			return {};
+		}
+
+		const share = () => (this.optionalNumber() ?? 0) / percent;
+		const room = Math.min(2, packedRoom / percent) - 1;
+		const [load, otherLoad, zoneLoad, zoneOtherLoad] = [share(), share(), share(), share()];
+		return {zone: {room, load, otherLoad, zoneLoad, zoneOtherLoad}};
+	}
+
 	private list(): readonly unknown[] {
 		const value = this.take();
 		if (!Array.isArray(value)) {
--- a/src/operator/index.ts
+++ b/src/operator/index.ts
@@ -6,3 +6,4 @@
 } from './change-applier.js';
 export {readDeclarationFolder} from './declaration-folder.js';
 export {formatCustomers, type CustomersReply} from './customer-table.js';
+export {formatExplanation, isExplanation, type ExplanationReply} from './explanation-text.js';
--- a/src/routing/executor-sampler.ts
+++ b/src/routing/executor-sampler.ts
@@ -1,13 +1,7 @@
-import {isRegionAllowed} from '../call/index.js';
-import {
-	Distance,
-	distanceBetween,
-	isRoutable,
-	type Directory,
-	type Member,
-} from '../membership/index.js';
+import {Distance, distanceBetween, type Directory, type Member} from '../membership/index.js';
 import type {ZoneFilter} from '../evacuation/index.js';
 import type {Random} from '../random/index.js';
+import {findExclusion} from './exclusions.js';
 import type {PlacementQuery} from './placement.js';
 
 /** Maximum number of members of a large service that one choice evaluates, by distance. */
@@ -58,15 +52,14 @@
 
 	/**
 	 * @param query - service of a call, and the members and regions that are left out.
+	 * @param isIncluded - restricts the sample; undefined for no restriction.
 	 * @returns the sampled routable members; none of an evacuated zone.
 	 */
-	sample({service, excluded, allowedRegions}: SampleQuery): ReadonlySet<Member> {
+	sample(query: SampleQuery, isIncluded?: (member: Member) => boolean): ReadonlySet<Member> {
+		const {service} = query;
 		const {zones} = this.options;
 		const canServe = (member: Member) =>
-			isRoutable(member) &&
-			!excluded.has(member.id) &&
-			isRegionAllowed(member.region, allowedRegions) &&
-			!zones?.isEvacuated(member);
+			findExclusion(member, query, zones) === undefined && (isIncluded?.(member) ?? true);
 		if (!zones?.hasReturning) {
 			return this.sampleServing(service, canServe);
 		}
--- a/src/routing/objective-placement.ts
+++ b/src/routing/objective-placement.ts
@@ -1,4 +1,4 @@
-import {RefusalReason, type LoadReport} from '../call/index.js';
+import {RefusalReason, type LoadReport, type ZoneReport} from '../call/index.js';
 import {minute, second, type Clock, type Millis} from '../clock/index.js';
 import {Mechanism, type DisabledMechanisms} from '../experiment/index.js';
 import {Distance, distanceBetween, type Directory, type Member} from '../membership/index.js';
@@ -6,9 +6,17 @@
 import type {Random} from '../random/index.js';
 import {CallProfiles, isUsualSpeed} from './call-profiles.js';
 import {ExecutorSampler} from './executor-sampler.js';
+import {findExclusion} from './exclusions.js';
 import {expectedLoss, expectedTime} from './expected-time.js';
+import type {
+	CandidateExplanation,
+	Evaluation,
+	LossParts,
+	PlacementExplanation,
+} from './explanation.js';
 import {ExecutorViews, type ExecutorView} from './executor-view.js';
 import {isPlaceRefusal, reasonWithoutExecutor} from './placement-reason.js';
+import {ZoneDecisions, zoneOf, type SpilloverChange, type ZonePlan} from './zone-decisions.js';
 import type {AttemptOutcome, Placement, PlacementQuery} from './placement.js';
 import {transferTime} from './transfer-time.js';
 
@@ -35,6 +43,10 @@
 	readonly linkRate?: number | undefined;
 	/** @returns the priority of the least urgent requests. */
 	readonly lowestPriority: () => number;
+	/** Whether the share of calls that leaves the availability zone is decided; false by default. */
+	readonly isSpilloverEnabled?: boolean;
+	/** Called on notable changes of the share of calls that leaves the availability zone. */
+	readonly onSpilloverChange?: (change: SpilloverChange) => void;
 }
 
 /** Network round-trip time of an attempt and its answer, by distance, in ms. */
@@ -101,7 +113,14 @@
 /** Upper bound of the expected wait for a rate limit; longer than any call waits. */
 const maxRateWait: Millis = minute;
 
-type Evaluation = {readonly member: Member; readonly time: Millis; readonly loss: number};
+/** Loss of the own callers of a zone that is short, when a call of another zone takes a slot there. */
+const displacementLoss = 0.25;
+/** Loss that a call may incur by leaving a zone that is short: what the calls behind it lose less. */
+const leavingGain = 0.2;
+/** Weight of one sample in the mean extra time of an executor, and its bounds relative to the work. */
+const extraTimeWeight = 0.1;
+const minExtraShare = -0.5;
+const maxExtraShare = 2;
 
 /**
  * Chooses the executor with the least expected loss, which combines the probability of a late answer
@@ -109,6 +128,8 @@
  * executor decay with their age.
  */
 export class ObjectivePlacement implements Placement {
+	/** Undefined if transfers have no cost, so that it does not matter where calls run. */
+	readonly zones: ZoneDecisions | undefined;
 	private readonly views = new ExecutorViews();
 	private readonly profiles = new CallProfiles();
 	private readonly executors: ExecutorSampler;
@@ -123,10 +144,54 @@
 			maxSmallServiceSize: maxEvaluated,
 			zones: deps.zones,
 		});
+		this.zones = this.createZones();
 	}
 
 	choose(query: PlacementQuery): Member | undefined {
-		return this.findBest(query)?.member;
+		const plan = this.zones?.plan(query, this.profiles.of(query.kind, query.objective));
+		const member = this.decide(query, plan)?.member;
+		if (plan && member && zoneOf(member) !== zoneOf(this.deps.self())) {
+			this.zones?.recordLeaving(query.service, zoneOf(member));
+		}
+
+		return member;
+	}
+
+	/**
+	 * @param query - a call.
+	 * @returns where {@link choose} would send the call now, and why. Of a large service, the choice evaluates a random
+	 * sample only.
+	 */
+	explain(query: PlacementQuery): PlacementExplanation {
+		const plan = this.zones?.preview(query);
+		const chosen = this.decide(query, plan)?.member;
+		const now = this.deps.clock.now();
+		const candidates: CandidateExplanation[] = [];
+		for (const member of this.deps.directory.ofService(query.service)) {
+			const {time, loss, parts} = this.evaluate(query, member);
+			const {id, region, zone} = member;
+			const {load, reportedAt} = this.views.of(id);
+			candidates.push({
+				id,
+				region,
+				zone,
+				exclusion: findExclusion(member, query, this.deps.zones),
+				isZoneClosed: plan?.closed.has(zoneOf(member)) ?? false,
+				time,
+				loss,
+				parts,
+				reportAge: load && now - reportedAt,
+			});
+		}
+
+		candidates.sort((a, b) => a.loss - b.loss);
+		return {
+			chosen: chosen?.id,
+			refusal: chosen ? undefined : this.noExecutorReason(query),
+			candidates,
+			destination: plan?.destination,
+			zones: this.zones?.figures(query.service),
+		};
 	}
 
 	noExecutorReason(query: PlacementQuery): RefusalReason {
@@ -143,10 +208,11 @@
 	// whose executor reports a slow period just after the start.
 	hedgeExecutor(query: PlacementQuery, executor: Member, elapsed: Millis): Member | undefined {
 		const {work} = this.profiles.of(query.kind, query.objective);
-		const isOverdue = elapsed > work * hedgeDelayFactor;
+		const usualTime = work + this.views.of(executor.id).extraTime;
+		const isOverdue = elapsed > usualTime * hedgeDelayFactor;
 		const slowdown =
 			this.slowdownAtStart(executor, elapsed) ?? (isOverdue ? slowPeriodSlowdown : undefined);
-		const other = slowdown === undefined ? undefined : this.findBest(query);
+		const other = slowdown === undefined ? undefined : this.findHedge(query);
 		if (slowdown === undefined || !other) {
 			return undefined;
 		}
@@ -216,7 +282,33 @@
 		return transferTime(requestBytes, [this.deps.linkRate, load?.linkRate]);
 	}
 
+	/** @returns free share of the slots of the own zone for callers of other zones; see `LoadReport.zoneRoom`. */
+	roomForOtherZones(): number | undefined {
+		const {service} = this.deps.self();
+		return service === '' ? undefined : this.zones?.room(service);
+	}
+
+	/**
+	 * @param load - recent mean of the calls at the local executor, per slot.
+	 * @param otherLoad - the part that other zones have sent.
+	 * @returns what the local executor reports of its zone; undefined if no decision is made.
+	 */
+	reportZone(load: number, otherLoad: number): ZoneReport | undefined {
+		return this.zones?.report(load, otherLoad);
+	}
+
+	/**
+	 * @param instance - instance of a node.
+	 * @returns whether the node is known and in another availability zone.
+	 */
+	isFromOtherZone(instance: string): boolean {
+		const id = instance.split('#', 1)[0]!;
+		const member = this.zones && this.deps.directory.get(id);
+		return member !== undefined && zoneOf(member) !== zoneOf(this.deps.self());
+	}
+
 	avoid(id: string, duration: Millis): void {
+		this.zones?.recordLoss(id);
 		this.views.of(id).avoidUntil = this.deps.clock.now() + duration;
 	}
 
@@ -237,13 +329,79 @@
 				roundTrips[distanceBetween(this.deps.self(), executor)] +
 				this.transferTime(query, executor);
 			const work = Math.max(1, this.deps.clock.now() - outcome.sentAt - roundTrip);
-			this.profiles.add(query.kind, work, outcome.answerBytes);
+			this.updateExtraTime(query, executor, work);
+			// Calls that leave take longer by the network, so that only those of the own zone show the work.
+			const isElsewhere = distanceBetween(this.deps.self(), executor) !== Distance.SameZone;
+			if (!(isElsewhere && this.zones?.hasOwnExecutor(query.service))) {
+				this.profiles.add(query.kind, work, outcome.answerBytes);
+			}
 		}
 	}
 
-	private findBest(query: PlacementQuery): Evaluation | undefined {
+	// Without a decision on zones, the times of all executors make one mean.
+	private updateExtraTime(query: PlacementQuery, executor: Member, time: Millis): void {
+		if (this.zones) {
+			const {work} = this.profiles.of(query.kind, query.objective);
+			const extra = Math.min(work * maxExtraShare, Math.max(work * minExtraShare, time - work));
+			const view = this.views.of(executor.id);
+			view.extraTime += (extra - view.extraTime) * extraTimeWeight;
+		}
+	}
+
+	private createZones(): ZoneDecisions | undefined {
+		const {clock, directory, self, costs, disabled, onSpilloverChange} = this.deps;
+		const {isSpilloverEnabled = false} = this.deps;
+		const isCostly = costs.otherZone > 0 || costs.otherRegion > 0;
+		if (!isCostly || !isSpilloverEnabled || disabled?.has(Mechanism.ZoneSpillover)) {
+			return undefined;
+		}
+
+		return new ZoneDecisions({
+			clock,
+			directory,
+			self,
+			views: this.views,
+			roundTripOf: (distance) => roundTrips[distance],
+			transferLoss: (...transfer) => this.transferLoss(...transfer),
+			onChange: onSpilloverChange,
+		});
+	}
+
+	// The choice of an executor; nothing is recorded.
+	private decide(query: PlacementQuery, plan: ZonePlan | undefined): Evaluation | undefined {
+		if (!plan) {
+			return this.findBest(query);
+		}
+
+		const {destination, closed} = plan;
+		const best = this.findBest(query, (member) => !closed.has(zoneOf(member)));
+		if (!best) {
+			return this.findBest(query);
+		}
+
+		const isAtHome = zoneOf(best.member) === zoneOf(this.deps.self());
+		const other =
+			destination !== undefined && isAtHome
+				? this.findBest(query, (member) => zoneOf(member) === destination)
+				: undefined;
+		return other && other.loss < best.loss + leavingGain ? other : best;
+	}
+
+	private findHedge(query: PlacementQuery): Evaluation | undefined {
+		if (!this.zones?.isLimited(query.service)) {
+			return this.findBest(query);
+		}
+
+		const ownZone = zoneOf(this.deps.self());
+		return this.findBest(query, (member) => zoneOf(member) === ownZone) ?? this.findBest(query);
+	}
+
+	private findBest(
+		query: PlacementQuery,
+		isIncluded?: (member: Member) => boolean,
+	): Evaluation | undefined {
 		let best: Evaluation | undefined;
-		for (const member of this.executors.sample(query)) {
+		for (const member of this.executors.sample(query, isIncluded)) {
 			const evaluation = this.evaluate(query, member);
 			if (!best || evaluation.loss < best.loss) {
 				best = evaluation;
@@ -264,20 +422,24 @@
 			slowdown: this.slowdownOf(view, now),
 			load: loadOf(view, now),
 			slots: view.load?.slots ?? (member.slots > 0 ? member.slots : defaultSlots),
-			roundTrip: roundTrips[distance] + this.transferTime(query, member),
+			roundTrip: roundTrips[distance] + view.extraTime + this.transferTime(query, member),
 			rateWait: disabled?.has(Mechanism.RateReport) ? 0 : rateWaitOf(view, now),
 		});
 		const {objectiveLeft, timeLeft} = query;
-		const lateness = expectedLoss({expected: time, objectiveLeft, timeLeft});
 		const bytes = overheadBytes + profile.answerBytes;
-		const loss =
-			lateness +
-			this.transferLoss(distance, bytes, query.priority) +
-			Math.min(maxBodyLoss, this.transferLoss(distance, query.requestBytes, query.priority)) +
-			(timeLoss * time) / Math.max(1, objectiveLeft) +
-			(disabled?.has(Mechanism.FailureLoss) ? 0 : failureLoss(view, now)) +
-			(now < view.avoidUntil ? avoidLoss : 0);
-		return {member, time, loss};
+		const bodyLoss = this.transferLoss(distance, query.requestBytes, query.priority);
+		const parts: LossParts = {
+			lateness: expectedLoss({expected: time, objectiveLeft, timeLeft}),
+			transfer:
+				this.transferLoss(distance, bytes, query.priority) + Math.min(maxBodyLoss, bodyLoss),
+			time: (timeLoss * time) / Math.max(1, objectiveLeft),
+			failure: disabled?.has(Mechanism.FailureLoss) ? 0 : failureLoss(view, now),
+			avoided: now < view.avoidUntil ? avoidLoss : 0,
+			shortZone: this.zones?.isShort(member) ? displacementLoss : 0,
+		};
+		const {lateness, transfer, failure, avoided, shortZone} = parts;
+		const loss = lateness + transfer + parts.time + failure + avoided + shortZone;
+		return {member, time, loss, parts};
 	}
 
 	// A report from before the start was already considered when the executor was chosen.
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -26,6 +26,8 @@
 export interface TransferCostSettings {
 	readonly otherZoneCost: number;
 	readonly otherRegionCost: number;
+	/** Whether the share of calls that leaves an availability zone is decided for the zone as a whole. */
+	readonly isSpilloverEnabled: boolean;
 }
 
 /** Budget of further attempts that all nodes in common may send to a service. */
@@ -141,6 +143,7 @@
 	return {
 		otherZoneCost: reader.number('other-zone-cost', cost),
 		otherRegionCost: reader.number('other-region-cost', cost),
+		isSpilloverEnabled: reader.flag('spillover', false),
 	};
 }
 
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -6,7 +6,13 @@
 import {RevisionTracker, type KnownRevisions} from '../declaration/index.js';
 import type {AttemptRunner} from '../exchange/index.js';
 import {EvacuatedZones} from '../evacuation/index.js';
-import {BackendClient, Executor, PlaceCheck, type BackendProtocol} from '../executor/index.js';
+import {
+	BackendClient,
+	Executor,
+	PlaceCheck,
+	type BackendProtocol,
+	type ZoneGuard,
+} from '../executor/index.js';
 import {CallRunner, type BudgetBursts} from '../ingress/index.js';
 import {LinkHub, OpenTarget, type ContentReply, type LinkHubDelegate} from '../link/index.js';
 import {
@@ -43,6 +49,8 @@
 	readonly takeHandover: LinkHubDelegate['acceptHandover'];
 	/** Runs attempts that are sent to this node as the owner of an idempotency key. */
 	readonly keyOwnerRunner: AttemptRunner;
+	/** Decision about attempts from other availability zones; undefined if they are treated alike. */
+	readonly zoneGuard?: ZoneGuard | undefined;
 	/** @returns the placement that chooses the executor of a call. */
 	createPlacement(core: NodeCore): Placement;
 	/** @returns the bursts that the retry and hedge budgets of this node allow. */
@@ -313,6 +321,7 @@
 			onColdReport: (left, sentAt) => {
 				this.cold?.recordAnswer(left, sentAt);
 			},
+			zoneGuard: this.hooks.zoneGuard,
 			onBackendUnreachable: () => {
 				this.backend.markUnreachable();
 			},
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -29,12 +29,13 @@
 import {LoadBroadcaster} from '../node/load-broadcaster.js';
 import {QuotaAgent} from '../node/quota-agent.js';
 import {NodeEvent, NodeState} from '../node/node-lifecycle.js';
-import {OperatorServer, textReply} from '../operations/index.js';
-import {ObjectivePlacement} from '../routing/index.js';
+import {jsonReply, OperatorServer, textReply} from '../operations/index.js';
+import {ObjectivePlacement, type SpilloverChange} from '../routing/index.js';
 import type {NodeSettings} from '../settings/index.js';
 import type {RestoreListener, RowFeed, TableService} from '../store/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 import {pause} from '../util/index.js';
+import {explainRequest, parseExplainedRequest} from './explain.js';
 import {NodeCore, type NodeCoreHooks} from './node-core.js';
 import {registerOperatorRoutes} from './operator-routes.js';
 
@@ -207,6 +208,7 @@
 			void this.roster.restoreRows();
 		});
 		registerOperatorRoutes(this.operatorServer, this);
+		this.registerExplain();
 		this.registerReadiness();
 		adapters.registerAnnouncements(this.announcementServer, this);
 	}
@@ -244,6 +246,7 @@
 		this.roster.start();
 		await this.operatorServer.listen(address, operatorPort);
 		this.probe.start();
+		this.startZoneReports();
 		this.findBackend();
 		this.checkReady();
 	}
@@ -296,6 +299,12 @@
 		return evacuatedZone && new EvacuationReader({logger, zones, evacuatedZone});
 	}
 
+	private startZoneReports(): void {
+		if (this.placement?.zones) {
+			this.loadBroadcaster.startZoneReports();
+		}
+	}
+
 	private findBackend(): void {
 		const {clock, logger} = this;
 		const {endpoint, service} = this.settings.backend;
@@ -313,6 +322,11 @@
 			backendProtocol: this.adapters.backendProtocol,
 			announcementTimeout: settings.backend.announcePeriod * maxMissedAnnouncements,
 			isRestart: !settings.isFirstStart,
+			zoneGuard: {
+				isFromOtherZone: (instance) => this.placement?.isFromOtherZone(instance) ?? false,
+				roomForOtherZones: () => this.placement?.roomForOtherZones(),
+				reportZone: (...loads) => this.placement?.reportZone(...loads),
+			},
 			createPlacement: (core) => this.createPlacement(core),
 			budgetBursts: () => this.budgetBursts(),
 			probeSpeed: async () => this.probe.probeNow(),
@@ -349,7 +363,11 @@
 		random,
 		evacuations: zones,
 	}: NodeCore): ObjectivePlacement {
-		const {otherZoneCost: otherZone, otherRegionCost: otherRegion} = this.settings.ways;
+		const {
+			otherZoneCost: otherZone,
+			otherRegionCost: otherRegion,
+			isSpilloverEnabled,
+		} = this.settings.ways;
 		this.placement = new ObjectivePlacement({
 			clock,
 			directory: gossip.directory,
@@ -357,13 +375,35 @@
 			random,
 			disabled: this.settings.disabled,
 			costs: {otherZone, otherRegion},
+			isSpilloverEnabled,
 			zones,
 			linkRate: this.settings.linkRate,
 			lowestPriority: () => this.lowestPriority,
+			onSpilloverChange: (change) => {
+				this.handleSpilloverChange(change);
+			},
 		});
 		return this.placement;
 	}
 
+	// Other zones must learn soon that this one is short, so that they send it no more calls.
+	private handleSpilloverChange({service, share, isShort, ...change}: SpilloverChange): void {
+		const {metrics, gossip} = this.core;
+		metrics.spilloverShare.set({service}, share);
+		metrics.zoneShort.set({service}, isShort ? 1 : 0);
+		if (change.isShortChanged) {
+			this.logger.log(isShort ? logEvents.zoneShort : logEvents.zoneSufficient, {service});
+			if (service === gossip.localMember.service) {
+				this.loadBroadcaster.scheduleBroadcast();
+			}
+		}
+
+		if (change.isLeavingChanged) {
+			const event = share > 0 ? logEvents.spilloverStarted : logEvents.spilloverEnded;
+			this.logger.log(event, {service, share: Math.round(share * 100) / 100});
+		}
+	}
+
 	// Each node uses an equal share of the slack that all nodes have in common in a window.
 	private budgetBursts(): BudgetBursts {
 		const nodes = Math.max(1, this.core.gossip.directory.countPresent());
@@ -415,6 +455,13 @@
 		}
 	}
 
+	private registerExplain(): void {
+		this.operatorServer.registerHandler('POST /v1/explain', (body) => {
+			const index = this.core.isAcceptingCalls ? this.core.revisions.inForce : undefined;
+			return jsonReply(explainRequest(parseExplainedRequest(body), index, this.placement!));
+		});
+	}
+
 	private registerReadiness(): void {
 		this.readinessServer.registerHandler(this.adapters.readinessRoute, () => {
 			const isReady = this.state === NodeState.Ready;
