--- a/review/lib/backend.mjs
+++ b/review/lib/backend.mjs
@@ -100,21 +100,30 @@
 		this.waiting = [];
 	}
 
-	async ping() {
+	/** @returns the body of the next ping. */
+	nextPing() {
 		this.sequence += 1;
-		const body = JSON.stringify({
+		return JSON.stringify({
 			address: `${this.address}:${this.port}`,
 			born: this.born,
 			info: {service: this.service, version: 'v1', zone: this.zone, slots: this.slots},
 			status: {state: this.state, sequence: this.sequence, cold_remaining_ms: 0},
 		});
+	}
+
+	async ping() {
+		return this.say('heartbeat', this.nextPing());
+	}
+
+	/** Calls the node; returns the status of its answer, undefined without one. */
+	async say(call, body) {
 		return new Promise((resolve) => {
 			const req = httpRequest(
 				{
 					host: this.address,
 					port: this.control,
 					method: 'POST',
-					path: `/v1/instances/${this.instance}/heartbeat`,
+					path: `/v1/instances/${this.instance}/${call}`,
 					headers: {'content-type': 'application/json', 'content-length': body.length},
 					timeout: pingTimeout,
 					agent: false,
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -75,13 +75,19 @@
 
 	record = (event, fields = {}) => {
 		if (event === 'run') {
-			this.runs.set(fields.id, [...(this.runs.get(fields.id) ?? []), this.now]);
+			const run = {at: this.now, instance: fields.instance};
+			this.runs.set(fields.id, [...(this.runs.get(fields.id) ?? []), run]);
 		}
 
 		const line = `${this.now.toFixed(1)} ${event} ${JSON.stringify(fields)}\n`;
 		appendFileSync(this.recordFile, line);
 	};
 
+	/** @returns when a backend server began to run a request; undefined if it did not. */
+	runsAt(id, instance) {
+		return this.runs.get(id)?.find((run) => run.instance === instance)?.at;
+	}
+
 	/**
 	 * @param machines - region, zone and service of each machine.
 	 * @param hasRelays - whether a relay stands before the link port of each node.
