--- a/review/1/kill.mjs
+++ b/review/further/kill.mjs
@@ -1,5 +1,5 @@
 /* eslint-disable camelcase -- The names on the wire are those of the users. */
-/** A variant of the case, which run.sh does not run: a node is killed while unsafe requests that it has passed on run at another machine; then everything is back. */
+/** A node is killed while unsafe requests that it has passed on run at another machine; then everything is back. */
 import {Buffer} from 'node:buffer';
 import {isTroubled, runCase} from '../lib/deployment.mjs';
 import {sleep} from '../lib/net.mjs';
