--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -381,6 +381,12 @@
 	process.on('uncaughtException', (err) => {
 		giveUp(String(err.stack ?? err));
 	});
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.on(signal, () => {
+			giveUp(`ended by ${signal}`);
+		});
+	}
+
 	const limit = setTimeout(() => {
 		giveUp('the time limit has passed');
 	}, timeLimit);
