Notice silent polls of the store in time, with polls of different age

Cause: a poll waited 12 s, and nothing but its own timeout looked at its connection. A change answers all polls at once, so that all readers miss the next one together, and a repeated poll could use another connection that had gone silent with the first.

Change: waits follow from the time to apply a change. Silent operations are counted apart from failed ones, and event 610 reports a silent poll.

--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -211,6 +211,18 @@
 		await fetch(`http://${this.store}/stand-in/faults`, {method: 'POST', body});
 	}
 
+	/** Lets the open connections of all nodes to the store go silent; those that they open later work. */
+	async silenceStore(): Promise<void> {
+		await this.setStoreFaults({silenced: this.nodes.map(({address}) => address)});
+	}
+
+	/** @returns calls to the store so far. */
+	async storeCalls(): Promise<number> {
+		const res = await fetch(`http://${this.store}/stand-in/counts`);
+		const {reads, writes} = (await res.json()) as {reads: number; writes: number};
+		return reads + writes;
+	}
+
 	/** @returns the newest version that the store has given out. */
 	async storeVersion(): Promise<number> {
 		const res = await fetch(`http://${this.store}/stand-in/counts`);
--- a/scaffold/stand-ins/platform-store.ts
+++ b/scaffold/stand-ins/platform-store.ts
@@ -1,6 +1,7 @@
 /** Stand-in for the platform's store: its published protocol, everything in memory. */
 import {Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import process from 'node:process';
 
 interface Faults {
@@ -14,6 +15,8 @@
 	refused: readonly string[];
 	/** The store has just dropped its history. */
 	isHistoryLost: boolean;
+	/** Addresses of machines whose open connections go silent now; connections that they open later work. */
+	silenced: readonly string[];
 }
 
 interface RowAddress {
@@ -59,7 +62,10 @@
 	lostAnswers: 0,
 	refused: [],
 	isHistoryLost: false,
+	silenced: [],
 };
+const sockets = new Set<Socket>();
+const silentSockets = new WeakSet<Socket>();
 const counts = {reads: 0, writes: 0};
 const pageRows = 500;
 let version = 0;
@@ -219,6 +225,14 @@
 		historyStart = version + 1;
 		history.length = 0;
 	}
+
+	for (const socket of sockets) {
+		if (faults.silenced.includes(socket.remoteAddress ?? '')) {
+			silentSockets.add(socket);
+		}
+	}
+
+	faults.silenced = [];
 }
 
 /** Goes back to the state at an earlier version, as a store does that is restored from a copy. */
@@ -277,7 +291,15 @@
 		return;
 	}
 
+	if (silentSockets.has(req.socket)) {
+		return;
+	}
+
 	const result = await answer(req.method ?? 'GET', url, body);
+	if (silentSockets.has(req.socket)) {
+		return;
+	}
+
 	if (result.isWrite && faults.lostAnswers > 0) {
 		faults.lostAnswers -= 1;
 		req.socket.destroy();
@@ -294,6 +316,12 @@
 const server = createServer((req, res) => {
 	void handle(req, res);
 });
+server.on('connection', (socket: Socket) => {
+	sockets.add(socket);
+	socket.once('close', () => {
+		sockets.delete(socket);
+	});
+});
 server.listen(Number(port), address, () => {
 	process.stdout.write('ready\n');
 });
--- a/src/control/__tests__/unit/configuration-feed.test.ts
+++ b/src/control/__tests__/unit/configuration-feed.test.ts
@@ -80,7 +80,9 @@
 		hub,
 		store,
 		source,
+		applyBound: 2000,
 		isReader: () => true,
+		readerSlot: () => ({index: 0, count: 1}),
 	});
 	feed.start();
 	for (let i = 0; i < 100; i++) {
--- a/src/control/configuration-feed.ts
+++ b/src/control/configuration-feed.ts
@@ -1,12 +1,14 @@
-import {second, type Clock, type Millis, type Undo} from '../clock/index.js';
+import type {Clock, Millis, Undo} from '../clock/index.js';
 import type {Declaration, RevisionTracker, KnownRevisions} from '../declaration/index.js';
 import type {LinkHub} from '../link/index.js';
 import type {Gossip} from '../membership/index.js';
 import type {Random} from '../random/index.js';
 import {
 	HistoryLostError,
+	StoreSilentError,
 	StoreUnavailableError,
 	type FeedPosition,
+	type FeedTimes,
 	type RowChange,
 	type RowFeed,
 } from '../store/index.js';
@@ -14,6 +16,7 @@
 import {pause} from '../util/index.js';
 import {ContentFetcher} from './content-fetcher.js';
 import type {EvacuationReader} from './evacuation-reader.js';
+import {planPoll, type ReaderSlot} from './poll-schedule.js';
 import {readWrittenContent, type WrittenContent} from './written-content.js';
 
 /** A configuration parsed from the row that operators write. */
@@ -50,12 +53,14 @@
 	readonly source: ConfigurationSource;
 	/** Reads the evacuations from the rows of the same table; undefined if there are none. */
 	readonly evacuations?: Pick<EvacuationReader, 'read'>;
+	/** Time within which a change must be in force at all nodes, in ms. */
+	readonly applyBound: Millis;
 	/** @returns whether this node reads the store for its zone. */
 	isReader(): boolean;
+	/** @returns the place of this node among all that read the store. */
+	readerSlot(): ReaderSlot;
 }
 
-/** Longest wait for a change. The store client detects a silent connection one second later. */
-const longPollTimeout: Millis = 12 * second;
 /** Bounds of the retry delay; short, so that the recovery of the store is detected soon. */
 const initialRetryDelay: Millis = 100;
 const maxRetryDelay: Millis = 800;
@@ -72,6 +77,8 @@
 export class ConfigurationFeed {
 	private readonly fetcher: ContentFetcher;
 	private position: FeedPosition | undefined;
+	/** Clock of the store at its last answer, and that of the node at that moment. */
+	private storeTime: {readonly at: Millis; readonly readAt: Millis} | undefined;
 	private retryDelay = initialRetryDelay;
 	private lastReporter: string | undefined;
 	private isReachable = true;
@@ -164,8 +171,9 @@
 		try {
 			const page = isSnapshot
 				? await store.snapshot(source.table)
-				: await store.changes(source.table, position, longPollTimeout);
+				: await store.changes(source.table, position, this.planPoll());
 			this.position = page.position;
+			this.recordStoreTime(page.storeTime);
 			this.recordSuccess();
 			// Before the configuration, as a node accepts calls as soon as it has one.
 			evacuations?.read(page, isSnapshot);
@@ -179,6 +187,17 @@
 		}
 	}
 
+	private planPoll(): FeedTimes {
+		const {clock, applyBound, readerSlot} = this.deps;
+		const {storeTime} = this;
+		const now = storeTime && storeTime.at + clock.now() - storeTime.readAt;
+		return planPoll(readerSlot(), applyBound, now);
+	}
+
+	private recordStoreTime(at: Millis | undefined): void {
+		this.storeTime = at === undefined ? undefined : {at, readAt: this.deps.clock.now()};
+	}
+
 	private recordSuccess(): void {
 		this.retryDelay = initialRetryDelay;
 		if (!this.isReachable) {
@@ -195,6 +214,11 @@
 			return 0;
 		}
 
+		const isNewlySilent = err instanceof StoreSilentError && this.isReachable;
+		if (isNewlySilent) {
+			logger.log(logEvents.feedSilent, {error: String(err), ...this.position});
+		}
+
 		if (!(err instanceof StoreUnavailableError)) {
 			logger.log(logEvents.unexpectedError, {error: String(err)});
 		}
@@ -205,6 +229,10 @@
 			logger.log(logEvents.feedLost, {error: String(err), ...this.position, revision});
 		}
 
+		if (isNewlySilent) {
+			return 0;
+		}
+
 		const delay = this.retryDelay * (0.5 + random.next());
 		this.retryDelay = Math.min(maxRetryDelay, this.retryDelay * 2);
 		return delay;
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -6,7 +6,8 @@
 } from './configuration-feed.js';
 export {ContentFetcher} from './content-fetcher.js';
 export {EvacuationReader, type EvacuationReaderDependencies} from './evacuation-reader.js';
-export {mustReadStore, selectReaders} from './readers.js';
+export {planPoll, type ReaderSlot} from './poll-schedule.js';
+export {findReaderSlot, mustReadStore, selectReaders} from './readers.js';
 export {Roster, type RosterDependencies} from './roster.js';
 export {DeclarationStore, HeadWriteResult, type HeadRow} from './declaration-store.js';
 export {RevisionAgent, type RevisionAgentDependencies} from './revision-agent.js';
--- a/src/control/readers.ts
+++ b/src/control/readers.ts
@@ -1,6 +1,14 @@
 import type {Clock, Millis} from '../clock/index.js';
-import {Distance, distanceBetween, isPresent, Liveness, type Gossip} from '../membership/index.js';
+import {
+	Distance,
+	distanceBetween,
+	isPresent,
+	Liveness,
+	type Gossip,
+	type Member,
+} from '../membership/index.js';
 import {rendezvous} from '../util/index.js';
+import type {ReaderSlot} from './poll-schedule.js';
 import {zoneName} from './store-keys.js';
 
 const readersPerZone = 2;
@@ -17,8 +25,7 @@
 	const {directory, localMember: account} = gossip;
 	const ids: string[] = [];
 	for (const member of directory.all()) {
-		const isAvailable = isPresent(member) && member.liveness === Liveness.Alive;
-		if (isAvailable && distanceBetween(account, member) === Distance.SameZone) {
+		if (isAvailable(member) && distanceBetween(account, member) === Distance.SameZone) {
 			ids.push(member.id);
 		}
 	}
@@ -32,6 +39,46 @@
  * @returns whether the node must read the store itself: as a reader of its zone, or because it is isolated.
  */
 export function mustReadStore(gossip: Gossip, clock: Pick<Clock, 'now'>): boolean {
-	const isIsolated = clock.now() - gossip.lastReceivedAt > isolationTimeout;
-	return isIsolated || selectReaders(gossip).includes(gossip.localMember.id);
+	return isIsolated(gossip, clock) || selectReaders(gossip).includes(gossip.localMember.id);
+}
+
+/**
+ * Numbers the readers of all zones without selecting those of other zones: the zones by name, then the readers of a
+ * zone by rank.
+ * @param gossip - the membership.
+ * @param clock - clock of the node.
+ * @returns the place of this node among them; an isolated node counts as the only reader.
+ */
+export function findReaderSlot(gossip: Gossip, clock: Pick<Clock, 'now'>): ReaderSlot {
+	if (isIsolated(gossip, clock)) {
+		return {index: 0, count: 1};
+	}
+
+	const {directory, localMember: account} = gossip;
+	const readers = new Map<string, number>();
+	for (const member of directory.all()) {
+		if (isAvailable(member)) {
+			const zone = zoneName(member.region, member.zone);
+			readers.set(zone, Math.min(readersPerZone, (readers.get(zone) ?? 0) + 1));
+		}
+	}
+
+	const ownZone = zoneName(account.region, account.zone);
+	let before = 0;
+	let count = 0;
+	for (const [zone, size] of readers) {
+		before += zone < ownZone ? size : 0;
+		count += size;
+	}
+
+	const rank = Math.max(0, selectReaders(gossip).indexOf(account.id));
+	return {index: before + rank, count: Math.max(1, count)};
+}
+
+function isIsolated(gossip: Gossip, clock: Pick<Clock, 'now'>): boolean {
+	return clock.now() - gossip.lastReceivedAt > isolationTimeout;
+}
+
+function isAvailable(member: Member): boolean {
+	return isPresent(member) && member.liveness === Liveness.Alive;
 }
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -74,6 +74,8 @@
 	readonly seeds: readonly Endpoint[];
 	readonly secret: string;
 	readonly store: Endpoint | undefined;
+	/** Time within which a configuration that the store has acknowledged must be in force at all nodes, in ms. */
+	readonly applyBound: Millis;
 	readonly stopTimeout: Millis;
 	readonly logForm: LogFormat;
 	readonly logLevel: LogLevel;
@@ -249,6 +251,7 @@
 		seeds: readEndpoints(peers, 'seeds'),
 		secret,
 		store: readEndpoints(store, 'address')[0],
+		applyBound: store.duration('apply-bound', {min: 500, max: 60 * second, fallback: 2 * second}),
 		logForm: log.choice('form', Object.values(LogFormat), LogFormat.Json),
 		logLevel: log.choice('level', Object.values(LogLevel), LogLevel.Info),
 	};
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -2,9 +2,11 @@
 export {
 	Precondition,
 	HistoryLostError,
+	StoreSilentError,
 	StoreUnavailableError,
 	type ChangePage,
 	type FeedPosition,
+	type FeedTimes,
 	type ObjectStore,
 	type Row,
 	type RowChange,
--- a/src/store/platform-store.ts
+++ b/src/store/platform-store.ts
@@ -42,6 +42,11 @@
 	override name = 'StoreUnavailableError';
 }
 
+/** An answer did not arrive in time: the store is away or slow, or the connection has gone silent. */
+export class StoreSilentError extends StoreUnavailableError {
+	override name = 'StoreSilentError';
+}
+
 /** The platform's table service. */
 export interface TableService {
 	/**
@@ -90,6 +95,8 @@
 	readonly changes: readonly RowChange[];
 	/** Position at which the next page starts. */
 	readonly position: FeedPosition;
+	/** Steady clock of the store at its answer, in ms; undefined if the store does not tell it. */
+	readonly storeTime?: Millis;
 }
 
 /**
@@ -100,6 +107,14 @@
 	override name = 'HistoryLostError';
 }
 
+/** Times of one request for changes. */
+export interface FeedTimes {
+	/** How long the store waits for a change, in ms. */
+	readonly wait: Millis;
+	/** Time without an answer after which the connection counts as silent, in ms. */
+	readonly timeout: Millis;
+}
+
 /** Change feed of the table service, read by long polling. */
 export interface RowFeed {
 	/**
@@ -112,11 +127,11 @@
 	 * Waits for changes.
 	 * @param table - name of a table.
 	 * @param position - position of the last page.
-	 * @param wait - how long to wait for a change, in ms.
+	 * @param times - how long to wait for a change, and for the answer.
 	 * @returns the changes; none when nothing changed.
-	 * @throws {@link StoreUnavailableError}, {@link HistoryLostError}
+	 * @throws {@link StoreSilentError}, {@link StoreUnavailableError}, {@link HistoryLostError}
 	 */
-	changes(table: string, position: FeedPosition, wait: Millis): Promise<ChangePage>;
+	changes(table: string, position: FeedPosition, times: FeedTimes): Promise<ChangePage>;
 }
 
 /** The platform's object store. */
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -260,6 +260,12 @@
 		info,
 		'Roster rows that the store had lost were written again.',
 	),
+	feedSilent: event(
+		610,
+		'feed-silent',
+		warn,
+		'A poll of the store got no answer in time; it is repeated on a new connection.',
+	),
 	settingsReloaded: event(107, 'settings-reloaded', info, 'The settings file was read again.'),
 	settingsRejected: event(
 		108,
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -2,6 +2,7 @@
 import {
 	ConfigurationFeed,
 	EvacuationReader,
+	findReaderSlot,
 	mustReadStore,
 	Roster,
 	type ConfigurationSource,
@@ -171,7 +172,9 @@
 			store,
 			source,
 			evacuations: this.createEvacuationReader(),
+			applyBound: settings.applyBound,
 			isReader: () => mustReadStore(gossip, clock),
+			readerSlot: () => findReaderSlot(gossip, clock),
 		});
 		this.probe = new BackendProbe({
 			clock,
