Refuse requests that may last longer than a stopping node

Cause: the ingress stays open for nested calls until the local executor is idle, and took every request meanwhile, whatever time the node had left.

Change: once callers have had the time to notice the stop, a request whose time limit ends after the node leaves is refused as not run. Others are served, and nested calls end with their parent.

Test, red before: late-requests.test.ts (one of three late requests cut); now passes, and a request that ends in time is still answered.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -103,6 +103,8 @@
 	private readonly awaitingContinue = new WeakSet<IncomingMessage>();
 	private readonly bodyMemory: BodyMemory;
 	private isDraining = false;
+	/** Time by which the calls that are accepted must end; undefined while the node is not about to leave. */
+	private leavesAt: Millis | undefined;
 
 	constructor(private readonly deps: IngressDependencies) {
 		this.customers = new CustomerUsage(deps.clock, deps.metrics, maxSharedInFlight);
@@ -155,6 +157,15 @@
 		this.isDraining = true;
 	}
 
+	/**
+	 * Refuses the requests from now on that may last longer than the node: their answers would be cut. Those whose time
+	 * limit ends earlier are served, among them nested calls, which end with their parent.
+	 * @param at - monotonic time in ms at which the node leaves.
+	 */
+	refuseBeyond(at: Millis): void {
+		this.leavesAt = at;
+	}
+
 	/**
 	 * @param duration - how long a connection may stay idle, in ms.
 	 */
@@ -344,6 +355,10 @@
 			}
 		}
 
+		if (this.leavesAt !== undefined && deadline.at > this.leavesAt) {
+			throw new RefusedRequestError(RefusalReason.Draining);
+		}
+
 		this.customers.enter(turn.res, parameters, this.calls.size);
 		const body = await this.readAdmittedBody(req, turn.res, parameters, index);
 		const head = createHead(req, parameters, body);
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -279,6 +279,7 @@
 		gossip.flush();
 		await pause(clock, executorDrainTime);
 		// While the backend server runs calls, it may make calls of its own through this ingress.
+		this.ingress.refuseBeyond(until);
 		await this.core.waitUntilIdle(() => executor.callCount, until);
 		this.ingress.close();
 		const isClean = await this.core.waitUntilIdle(
