Count a request as in flight until its connection has taken the answer

A stopping node could exit 0.2 s after its last call had ended, with answers that slow callers had not taken yet; they got a part of them.

Cause: a request counted as ended when its answer was handed to the connection.

Change: complete answers stay in the count until their connection has taken them or is lost.

Test, red before (0 in flight, 1 expected): ingress.test.ts, 'counts a request as in flight until its connection has taken the whole answer'.

--- a/src/ingress/__tests__/unit/ingress.test.ts
+++ b/src/ingress/__tests__/unit/ingress.test.ts
@@ -219,6 +219,30 @@
 		await until(() => caller.statuses.length === 3);
 	});
 
+	// Guards against a stop that cuts the answers which their callers have not taken yet.
+	it('counts a request as in flight until its connection has taken the whole answer', async () => {
+		const caller = open();
+		caller.send('/safe/1');
+		await until(() => started.length === 1);
+		caller.socket.pause();
+		finish('/safe/1', createBufferedBody(Buffer.alloc(32 * 1024 * 1024, 'x')));
+		await sleep();
+		expect(ingress.inFlight).toBe(1);
+		caller.socket.resume();
+		await until(() => ingress.inFlight === 0);
+	});
+
+	it('does not count a request whose caller left before it took the whole answer', async () => {
+		const caller = open();
+		caller.send('/safe/1');
+		await until(() => started.length === 1);
+		caller.socket.pause();
+		finish('/safe/1', createBufferedBody(Buffer.alloc(32 * 1024 * 1024, 'x')));
+		await sleep();
+		caller.socket.destroy();
+		await until(() => ingress.inFlight === 0);
+	});
+
 	it('runs no unsafe request behind an answer that closes the connection', async () => {
 		const caller = open();
 		caller.send('/safe/1', '/unsafe/2');
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -97,6 +97,8 @@
 	readonly customers: CustomerUsage;
 	private readonly server: Server;
 	private readonly calls = new Set<ServerResponse>();
+	/** Complete answers that their connections have not taken completely. */
+	private readonly unsent = new Set<ServerResponse>();
 	private readonly connections = new WeakMap<Duplex, CallerConnection>();
 	private readonly newest: NewestConfiguration;
 	/** Requests whose callers wait to be told that their bodies are read. */
@@ -137,9 +139,9 @@
 		});
 	}
 
-	/** Number of requests that have not been answered. */
+	/** Number of requests whose answers have not been taken completely by their connections. */
 	get inFlight(): number {
-		return this.calls.size;
+		return this.calls.size + this.unsent.size;
 	}
 
 	/**
@@ -204,6 +206,7 @@
 			outcome = await this.answerError(err, turn);
 		} finally {
 			this.calls.delete(res);
+			this.trackUnsent(res);
 			this.customers.leave(res, outcome);
 			const {metrics, clock} = this.deps;
 			metrics.inFlight.set(this.calls.size);
@@ -212,6 +215,16 @@
 		}
 	}
 
+	// A caller may take an answer slowly; a node that stops must not leave before.
+	private trackUnsent(res: ServerResponse): void {
+		if (res.writableEnded && !res.writableFinished && !res.destroyed) {
+			this.unsent.add(res);
+			res.once('close', () => {
+				this.unsent.delete(res);
+			});
+		}
+	}
+
 	private connectionOf(socket: Socket): CallerConnection {
 		const known = this.connections.get(socket);
 		if (known) {
