Wait for the end of the stop on a second signal

Cause: stop() returned at once, as if all had ended, when a stop had already begun, and the program exits when it returns.

Change: every call of stop() returns the end of the one stop, in both kinds of node.

Test, red before (socket hang up 0.3 s after the first signal): late-requests.test.ts, 'cuts no request in flight when it gets a second signal to stop'.

--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -126,6 +126,8 @@
 	private readonly pendingLinks = new Set<string>();
 	private configuredAt: Millis | undefined;
 	private lowestPriority = 0;
+	/** Set once the node stops; a further signal waits for the same end. */
+	private stopping: Promise<boolean> | undefined;
 
 	constructor(
 		private readonly settings: NodeSettings,
@@ -259,10 +261,11 @@
 	 * @returns whether all requests in flight ended in time.
 	 */
 	async stop(): Promise<boolean> {
-		if (this.state === NodeState.Draining || this.state === NodeState.Stopped) {
-			return true;
-		}
+		this.stopping ??= this.leave();
+		return this.stopping;
+	}
 
+	private async leave(): Promise<boolean> {
 		const {clock} = this;
 		const {lifecycle, backend, gossip, hub, executor} = this.core;
 		const until = clock.now() + this.settings.stopTimeout - stopReserve;
--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -49,6 +49,8 @@
 	private readonly storeClient: NodeStore | undefined;
 	private readonly revisionAgent: RevisionAgent;
 	private readonly ingress: Ingress;
+	/** Set once the node stops; a further signal waits for the same end. */
+	private stopping: Promise<boolean> | undefined;
 	private readonly operatorServer = new OperatorServer();
 	private readonly probe: BackendProbe;
 	private readonly keyOwners: KeyOwners;
@@ -141,10 +143,11 @@
 	 * @returns whether all requests in flight ended in time.
 	 */
 	async stop(): Promise<boolean> {
-		if (this.state === NodeState.Draining || this.state === NodeState.Stopped) {
-			return true;
-		}
+		this.stopping ??= this.leave();
+		return this.stopping;
+	}
 
+	private async leave(): Promise<boolean> {
 		const {lifecycle, backend, gossip, hub, executor} = this.core;
 		lifecycle.send({type: NodeEvent.StopRequested});
 		this.logger.log(logEvents.nodeDraining);
--- a/tests/late-requests.test.ts
+++ b/tests/late-requests.test.ts
@@ -75,4 +75,16 @@
 		expect(await ended).toBe(0);
 		expect(performance.now() - termAt).toBeLessThan(stopTimeout);
 	});
+
+	// Guards against a second signal that ends the process at once, as the stop has already begun.
+	it('cuts no request in flight when it gets a second signal to stop', async () => {
+		const answer = mesh.send(other, {path: '/far/second', method: 'POST', deadline: 2500});
+		await sleep(200);
+		const ended = mesh.endNode(other, 'SIGTERM');
+		await sleep(300);
+		mesh.signalNode(other, 'SIGTERM');
+		const {status} = await answer;
+		expect(status).toBe(200);
+		expect(await ended).toBe(0);
+	});
 });
