Fetch contents of revisions on links that are known to work

Nodes that knew of a newer configuration went on with the older one: after all links and polls had gone silent, a change was in force only after 4.2 s, or not within 20 s.

Cause: contents are fetched from peers one after the other, a second each, and links without calls in flight are not watched. A silent one lost each question and stayed in use, so that the next round asked on it again.

Change: a quiet link has to show with a ping, answered by nodes of earlier builds too, that it works; otherwise a new one is opened. Both are bounded by a share of the time to apply a change. Event 304 reports silent links.

Tests, red before: silent-connections.test.ts, 'apply a configuration in time %i ms after their links and polls of the store went silent'.

--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -10,6 +10,7 @@
 import {promisify} from 'node:util';
 import {ProcessGroup} from '../deployment/process-group.js';
 import {readUsage, type ProcessUsage} from '../deployment/process-usage.js';
+import {LinkRelay} from './link-relay.js';
 import {MeshBackend} from './mesh-backend.js';
 
 /** One node to start. */
@@ -19,6 +20,8 @@
 	readonly service: string;
 	/** Further lines of the settings file, after its last section. */
 	readonly settings?: readonly string[];
+	/** Whether a relay stands before its link port, so that its links can go silent. */
+	readonly hasRelay?: boolean;
 }
 
 /** A node with its backend server. */
@@ -26,6 +29,7 @@
 	readonly name: string;
 	readonly address: string;
 	readonly backend: MeshBackend;
+	readonly relay: LinkRelay | undefined;
 }
 
 /** A caller's request. */
@@ -77,6 +81,8 @@
 
 const ports = {callers: 7600, readiness: 7601, announcements: 7602, link: 7603, operators: 7604};
 const storePort = 7690;
+/** Relays have the addresses of their nodes, this much higher. */
+const relayOffset = 100;
 const waitLimit = 20_000;
 let nextId = 0;
 
@@ -140,7 +146,10 @@
 		const identity = {instance: `i-${index}`, service: options.service, born: 1000 + index};
 		const backend = new MeshBackend(identity, address, control);
 		await backend.listen();
-		const node = {...options, name: `node-${index}`, address, backend};
+		const relayAddress = `127.31.${this.subnet}.${relayOffset + index}`;
+		const relay = options.hasRelay ? new LinkRelay(relayAddress, address, ports.link) : undefined;
+		await relay?.listen();
+		const node = {...options, name: `node-${index}`, address, backend, relay};
 		this.nodes.push(node);
 		writeFileSync(this.settingsFile(node), this.settingsOf(node));
 		await this.startNode(node);
@@ -216,6 +225,13 @@
 		await this.setStoreFaults({silenced: this.nodes.map(({address}) => address)});
 	}
 
+	/** Lets all links between nodes go silent; those that are opened later work. */
+	silenceLinks(): void {
+		for (const {relay} of this.nodes) {
+			relay?.silence();
+		}
+	}
+
 	/** @returns calls to the store so far. */
 	async storeCalls(): Promise<number> {
 		const res = await fetch(`http://${this.store}/stand-in/counts`);
@@ -378,6 +394,7 @@
 	async stop(): Promise<void> {
 		for (const node of this.nodes) {
 			node.backend.close();
+			node.relay?.close();
 		}
 
 		await this.group.stop();
@@ -394,10 +411,11 @@
 	}
 
 	private settingsOf(node: MeshNode): string {
-		const {address, region, zone, service, backend, settings = []} = node;
+		const {address, region, zone, service, backend, relay, settings = []} = node;
 		return [
 			'[node]',
 			`address = ${address}`,
+			`advertise = ${relay?.address ?? address}`,
 			`callers = ${address}:${ports.callers}`,
 			`readiness = ${address}:${ports.readiness}`,
 			`announcements = ${address}:${ports.announcements}`,
--- a/src/control/content-fetcher.ts
+++ b/src/control/content-fetcher.ts
@@ -1,3 +1,4 @@
+import type {Millis} from '../clock/index.js';
 import type {RevisionTracker} from '../declaration/index.js';
 import type {LinkHub, PeerSession} from '../link/index.js';
 import {isPresent, type Gossip} from '../membership/index.js';
@@ -10,6 +11,8 @@
 	readonly revisions: RevisionTracker;
 	readonly gossip: Gossip;
 	readonly hub: LinkHub;
+	/** Time within which a change must be in force at all nodes, in ms. */
+	readonly applyBound: Millis;
 	/**
 	 * Reads a content from the store, if this node may read the store.
 	 * @param hash - hash of the content.
@@ -22,6 +25,8 @@
 
 /** Randomly chosen members of the own region that are queried for a content, one after the other. */
 const sampledRegionPeers = 3;
+/** Share of the time to apply a change that a peer may take to show that its link works. */
+const patienceShare = 0.15;
 
 /** Fetches the contents of configuration revisions that this node knows of but does not have. */
 export class ContentFetcher {
@@ -60,7 +65,7 @@
 	}
 
 	private async fetchFromPeers(hash: string, reporter: string | undefined): Promise<boolean> {
-		const {gossip, hub} = this.deps;
+		const {gossip, hub, applyBound} = this.deps;
 		const self = gossip.localMember;
 		for (const id of this.candidatePeers(reporter)) {
 			if (id === self.id) {
@@ -68,7 +73,7 @@
 			}
 
 			// Sequential, as one copy is enough.
-			const session = await hub.connect(id); // eslint-disable-line no-await-in-loop
+			const session = await hub.connectAlive(id, applyBound * patienceShare); // eslint-disable-line no-await-in-loop
 			// eslint-disable-next-line no-await-in-loop
 			if (session && (await this.fetchFrom(session, hash))) {
 				return true;
--- a/src/control/revision-agent.ts
+++ b/src/control/revision-agent.ts
@@ -19,6 +19,8 @@
 	readonly revisions: RevisionTracker;
 	readonly gossip: Gossip;
 	readonly hub: LinkHub;
+	/** Time within which a change must be in force at all nodes, in ms. */
+	readonly applyBound: Millis;
 	/** Undefined for a node without a store. */
 	readonly store: DeclarationStore | undefined;
 }
--- a/src/link/link-hub.ts
+++ b/src/link/link-hub.ts
@@ -129,6 +129,31 @@
 		return dial.promise;
 	}
 
+	/**
+	 * Returns a session whose link is known to work: the open one if the peer replies on it, otherwise one on a new link.
+	 * @param id - address of a peer.
+	 * @param patience - longest wait for the reply, and then for the new link, in ms.
+	 * @returns the session; undefined when the peer cannot be reached in time.
+	 */
+	async connectAlive(id: string, patience: Millis): Promise<PeerSession | undefined> {
+		const session = this.sessions.get(id);
+		if (session) {
+			if (await session.isAlive(patience)) {
+				return session;
+			}
+
+			this.replaceSilent(id, session);
+		}
+
+		const {promise, resolve} = withResolvers<undefined>();
+		const undoTimer = this.owner.clock.after(patience, () => {
+			resolve(undefined);
+		});
+		const connected = await Promise.race([this.connect(id), promise]);
+		undoTimer();
+		return connected;
+	}
+
 	/**
 	 * @param id - address of a peer.
 	 * @returns the peer's instance; undefined without an open link.
@@ -362,10 +387,19 @@
 		}
 	}
 
+	// Without calls in flight nothing more is expected on the link.
+	private replaceSilent(id: string, session: PeerSession): void {
+		this.stopUsing(id, session);
+		if (session.callsInFlight === 0) {
+			session.link.close(LinkCloseReason.Silent);
+		}
+	}
+
 	// New calls open a new link; the silent one stays open for answers that may still arrive.
 	private stopUsing(id: string, session: PeerSession): void {
 		if (this.sessions.get(id) === session) {
 			this.sessions.delete(id);
+			this.deps.logger.log(logEvents.linkSilent, {peer: id, calls: session.callsInFlight});
 		}
 	}
 
--- a/src/link/link.ts
+++ b/src/link/link.ts
@@ -2,6 +2,7 @@
 import {createActor} from 'xstate';
 import type {Clock, Millis} from '../clock/index.js';
 import {TrafficKind} from '../telemetry/index.js';
+import {withResolvers} from '../util/index.js';
 import {
 	FrameType,
 	protocolVersion,
@@ -142,6 +143,33 @@
 		this.owner.bytesSent(this, bytes.length, kind);
 	}
 
+	/**
+	 * Checks that the peer can still be reached on the link.
+	 * @param patience - longest wait for its reply, in ms.
+	 * @returns whether the peer has replied.
+	 */
+	async ping(patience: Millis): Promise<boolean> {
+		if (this.socket.readyState !== WebSocket.OPEN) {
+			return false;
+		}
+
+		const {promise, resolve} = withResolvers<boolean>();
+		const handlePong = () => {
+			this.receivedAt = this.owner.clock.now();
+			resolve(true);
+		};
+
+		this.socket.once('pong', handlePong);
+		const undoTimer = this.owner.clock.after(patience, () => {
+			resolve(false);
+		});
+		this.socket.ping();
+		const isAlive = await promise;
+		undoTimer();
+		this.socket.off('pong', handlePong);
+		return isAlive;
+	}
+
 	/**
 	 * Closes the link: with a closing handshake when stopping, otherwise by terminating the connection.
 	 * @param reason - passed to {@link LinkOwner.linkClosed}.
--- a/src/link/peer-session.ts
+++ b/src/link/peer-session.ts
@@ -122,6 +122,16 @@
 		return this.outgoing.size > 0 && silence > silenceTimeout;
 	}
 
+	/**
+	 * Checks that the peer can still be reached. An idle link is not watched, so it may have gone silent unnoticed.
+	 * @param patience - longest wait for a reply of the peer, in ms.
+	 * @returns whether something was received from the peer a short time ago or is received now.
+	 */
+	async isAlive(patience: Millis): Promise<boolean> {
+		const silence = this.delegate.now() - this.link.lastReceived;
+		return silence < heartbeatPeriod || this.link.ping(patience);
+	}
+
 	/**
 	 * Sends an attempt to the peer.
 	 * @param attempt - the attempt.
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -163,6 +163,12 @@
 	linkOpened: event(300, 'link-opened', debug, 'A link to a peer is open.'),
 	linkClosed: event(301, 'link-closed', debug, 'A link to a peer has closed.'),
 	linkRejected: event(302, 'link-rejected', warn, 'A link to a peer was rejected.'),
+	linkSilent: event(
+		304,
+		'link-silent',
+		warn,
+		'Nothing arrives from a peer on a link; further calls use a new one.',
+	),
 	frameRejected: event(
 		303,
 		'frame-rejected',
--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -83,6 +83,7 @@
 			revisions,
 			gossip,
 			hub,
+			applyBound: settings.applyBound,
 			store: this.store && new DeclarationStore(this.store),
 		});
 		this.keyOwners = new KeyOwners({
--- a/tests/silent-connections.test.ts
+++ b/tests/silent-connections.test.ts
@@ -19,8 +19,9 @@
 	beforeAll(async () => {
 		await mesh.startStore();
 		for (const zone of ['a', 'b']) {
-			await mesh.addNode({zone, region: 'one', service: 'alpha'});
-			await mesh.addNode({zone, region: 'one', service: 'beta'});
+			for (const service of ['alpha', 'beta', 'gamma', 'delta']) {
+				await mesh.addNode({zone, region: 'one', service, hasRelay: true});
+			}
 		}
 
 		await mesh.configure([first]);
@@ -31,6 +32,26 @@
 		await mesh.stop();
 	});
 
+	/** Lets each node send a request to each other, so that links are open between all. */
+	async function linkAll(): Promise<void> {
+		await mesh.configure(
+			['alpha', 'beta', 'gamma', 'delta'].map((service) => ({
+				...first,
+				prefix: `/${service}/`,
+				service,
+			})),
+		);
+		await sleep(500);
+		for (const service of ['alpha', 'beta', 'gamma', 'delta']) {
+			const paths = Array.from({length: 10}, (_, i) => `/${service}/${i}`);
+			await Promise.all(
+				mesh.nodes.flatMap((node) =>
+					paths.map(async (path) => mesh.statusFor(node, {path, deadline: 3000})),
+				),
+			);
+		}
+	}
+
 	async function measureApply(version: number): Promise<number> {
 		const startedAt = performance.now();
 		await mesh.configure([first, added], version);
@@ -53,4 +74,17 @@
 			expect(await measureApply(version + 1)).toBeLessThan(maxApplyMs);
 		},
 	);
+
+	// Guards against nodes that wait for the content of a revision on silent links, one after the other.
+	it.each([100, 3000])(
+		'apply a configuration in time %i ms after their links and polls of the store went silent',
+		async (delay) => {
+			await linkAll();
+			mesh.silenceLinks();
+			await mesh.silenceStore();
+			await sleep(delay);
+			const version = (await mesh.version(mesh.nodes[0]!)) + 1;
+			expect(await measureApply(version)).toBeLessThan(maxApplyMs);
+		},
+	);
 });
