Send unsafe requests again that have not arrived on a silent link

After all links had gone silent, 26 of 32 unsafe requests got 504 at their deadline; none had run, and backend servers were free.

Cause: on a silent link an attempt that may run once at most went on waiting. Only its executor knows whether it has run, and was asked only when a link had closed.

Change: the executor is asked on a new link and fences an attempt that has not run, which is then sent again (reason link-silent). Before such an attempt is sent on a link that was quiet for 0.8 s, the peer has to answer a ping. The waits that a change rests on are shorter (0.35 and 0.25 of the time to apply it, pings 0.1): once, a change after silence took 2.04 s.

--- a/src/control/content-fetcher.ts
+++ b/src/control/content-fetcher.ts
@@ -1,11 +1,13 @@
-import type {Millis} from '../clock/index.js';
+import type {Clock, Millis} from '../clock/index.js';
 import type {RevisionTracker} from '../declaration/index.js';
 import type {LinkHub, PeerSession} from '../link/index.js';
 import {isPresent, type Gossip} from '../membership/index.js';
 import {sample, type Random} from '../random/index.js';
 import {logEvents, type Logger} from '../telemetry/index.js';
+import {pause} from '../util/index.js';
 
 export interface ContentFetcherDependencies {
+	readonly clock: Pick<Clock, 'after'>;
 	readonly random: Random;
 	readonly logger: Logger;
 	readonly revisions: RevisionTracker;
@@ -26,7 +28,9 @@
 /** Randomly chosen members of the own region that are queried for a content, one after the other. */
 const sampledRegionPeers = 3;
 /** Share of the time to apply a change that a peer may take to show that its link works. */
-const patienceShare = 0.15;
+const patienceShare = 0.1;
+/** Time since the last frame from a peer up to which its link is used without a check. */
+const maxQuiet: Millis = 200;
 
 /** Fetches the contents of configuration revisions that this node knows of but does not have. */
 export class ContentFetcher {
@@ -65,7 +69,7 @@
 	}
 
 	private async fetchFromPeers(hash: string, reporter: string | undefined): Promise<boolean> {
-		const {gossip, hub, applyBound} = this.deps;
+		const {gossip} = this.deps;
 		const self = gossip.localMember;
 		for (const id of this.candidatePeers(reporter)) {
 			if (id === self.id) {
@@ -73,7 +77,7 @@
 			}
 
 			// Sequential, as one copy is enough.
-			const session = await hub.connectAlive(id, applyBound * patienceShare); // eslint-disable-line no-await-in-loop
+			const session = await this.connect(id); // eslint-disable-line no-await-in-loop
 			// eslint-disable-next-line no-await-in-loop
 			if (session && (await this.fetchFrom(session, hash))) {
 				return true;
@@ -83,6 +87,14 @@
 		return false;
 	}
 
+	// A peer that cannot be reached must not hold up the question to the next one.
+	private async connect(id: string): Promise<PeerSession | undefined> {
+		const {hub, clock, applyBound} = this.deps;
+		const patience = applyBound * patienceShare;
+		const session = hub.connectAlive(id, maxQuiet, patience);
+		return Promise.race([session, pause(clock, 2 * patience).then(() => undefined)]);
+	}
+
 	// A full content of many routes takes a narrow link longer than a configuration may take to be in force, so a
 	// delta is asked for first. The hash shows whether it makes the requested content.
 	private async fetchFrom(session: PeerSession, hash: string): Promise<boolean> {
--- a/src/control/poll-schedule.ts
+++ b/src/control/poll-schedule.ts
@@ -15,8 +15,8 @@
  * Shares of the time to apply a change: between the ends of polls of two readers, and for an answer that is late.
  * What is left is for the next poll on a new connection and for the news to reach all nodes.
  */
-const spacingShare = 0.4;
-const lateShare = 0.3;
+const spacingShare = 0.35;
+const lateShare = 0.25;
 
 /**
  * Plans the next poll of a reader. Polls of all readers end one after the other at equal distances, so that soon after
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -71,6 +71,7 @@
 	RefusalReason.Draining,
 	RefusalReason.NoBackend,
 	RefusalReason.LinkUnreachable,
+	RefusalReason.LinkSilent,
 	RefusalReason.BackendReplaced,
 	RefusalReason.ZoneEvacuated,
 	RefusalReason.RegionNotAllowed,
@@ -474,6 +475,11 @@
 			return true;
 		}
 
+		// The executor has replied on another link, so it can be tried again.
+		if (reason === RefusalReason.LinkSilent && progress.executor !== undefined) {
+			progress.tried.delete(progress.executor);
+		}
+
 		if (unbudgetedRefusals.has(reason)) {
 			return true;
 		}
--- a/src/link/__tests__/unit/peer-session.test.ts
+++ b/src/link/__tests__/unit/peer-session.test.ts
@@ -33,6 +33,7 @@
 		lateFrame: () => undefined,
 		callStarted: () => undefined,
 		resolveLostAttempt: async () => createUnknown(RefusalReason.ExecutorLost),
+		fenceSilentAttempt: async () => false,
 	});
 	const send = () => {
 		const attempt: Attempt = {
--- a/src/link/link-hub.ts
+++ b/src/link/link-hub.ts
@@ -14,14 +14,26 @@
 import {invariant, pause, withResolvers} from '../util/index.js';
 import {FrameType, OpenTarget, type Frame} from './frame.js';
 import {Link, LinkCloseReason, LinkRole, type LinkOwner, type PeerIdentity} from './link.js';
-import {heartbeatPeriod, maxFrameBytes, openTimeout} from './link-limits.js';
+import {
+	heartbeatPeriod,
+	maxFrameBytes,
+	openTimeout,
+	pingTimeout,
+	silenceTimeout,
+} from './link-limits.js';
 import {PeerSession, type PeerSessionDelegate} from './peer-session.js';
 import {TextDeflater} from './text-compression.js';
 
 /** Callbacks of the hub into its node. */
 export interface LinkHubDelegate extends Omit<
 	PeerSessionDelegate,
-	'resolveLostAttempt' | 'now' | 'after' | 'lateFrame' | 'callStarted' | 'deflate'
+	| 'resolveLostAttempt'
+	| 'fenceSilentAttempt'
+	| 'now'
+	| 'after'
+	| 'lateFrame'
+	| 'callStarted'
+	| 'deflate'
 > {
 	/** Nothing was received within the silence timeout from a peer with calls in flight. */
 	peerSilent(id: string): void;
@@ -132,26 +144,25 @@
 	/**
 	 * Returns a session whose link is known to work: the open one if the peer replies on it, otherwise one on a new link.
 	 * @param id - address of a peer.
-	 * @param patience - longest wait for the reply, and then for the new link, in ms.
-	 * @returns the session; undefined when the peer cannot be reached in time.
+	 * @param maxQuiet - time in ms since the last frame from the peer up to which its link counts as working.
+	 * @param patience - longest wait for the reply, in ms.
+	 * @returns the session; undefined when the peer cannot be reached.
 	 */
-	async connectAlive(id: string, patience: Millis): Promise<PeerSession | undefined> {
+	async connectAlive(
+		id: string,
+		maxQuiet: Millis,
+		patience: Millis,
+	): Promise<PeerSession | undefined> {
 		const session = this.sessions.get(id);
 		if (session) {
-			if (await session.isAlive(patience)) {
+			if (await session.isAlive(maxQuiet, patience)) {
 				return session;
 			}
 
 			this.replaceSilent(id, session);
 		}
 
-		const {promise, resolve} = withResolvers<undefined>();
-		const undoTimer = this.owner.clock.after(patience, () => {
-			resolve(undefined);
-		});
-		const connected = await Promise.race([this.connect(id), promise]);
-		undoTimer();
-		return connected;
+		return this.connect(id);
 	}
 
 	/**
@@ -232,11 +243,15 @@
 				metrics.lateAnswers.inc();
 			},
 			resolveLostAttempt: async (attempt, link) => this.resolveLostAttempt(attempt, link),
+			fenceSilentAttempt: async (attempt, link) => this.fenceSilentAttempt(attempt, link),
 		};
 	}
 
 	private async run(id: string, attempt: Attempt, target: OpenTarget): Promise<AttemptResult> {
-		const session = this.sessions.get(id) ?? (await this.connect(id));
+		// An idempotent attempt is repeated soon after its link has gone silent, so it need not wait for a check.
+		const session = attempt.head.isIdempotent
+			? (this.sessions.get(id) ?? (await this.connect(id)))
+			: await this.connectAlive(id, silenceTimeout, pingTimeout);
 		if (!session) {
 			return createRefused(RefusalReason.LinkUnreachable);
 		}
@@ -362,6 +377,19 @@
 		return createUnknown(RefusalReason.ExecutorLost);
 	}
 
+	// A session that has opened meanwhile belongs to the same process, or else the silent link was closed.
+	private async fenceSilentAttempt(attempt: Attempt, silent: Link): Promise<boolean> {
+		const {peer} = silent;
+		invariant(peer !== undefined, 'attempts are sent on open links only');
+		const session = await this.connect(peer.id);
+		if (!session || session.link === silent || session.link.peer?.instance !== peer.instance) {
+			return false;
+		}
+
+		const state = await session.queryAndFence(attempt.id.sequence);
+		return state !== undefined && isNotRun(state);
+	}
+
 	// Runs only while calls are in flight, so that an idle node has no wake-ups.
 	private scheduleLivenessCheck(): void {
 		this.cancelLivenessCheck ??= this.owner.clock.after(heartbeatPeriod, () => {
@@ -377,12 +405,13 @@
 		for (const session of this.sessionsByLink.values()) {
 			session.sendHeartbeat();
 			if (session.isSilent) {
-				session.handleSilence();
 				const id = session.link.peer?.id;
 				if (id !== undefined) {
 					this.stopUsing(id, session);
 					this.deps.delegate.peerSilent(id);
 				}
+
+				session.handleSilence();
 			}
 		}
 	}
@@ -410,6 +439,11 @@
 }
 
 function resultForState(state: AttemptState): AttemptResult {
-	const isNotRun = state === AttemptState.Fenced || state === AttemptState.Refused;
-	return isNotRun ? createRefused(RefusalReason.Fenced) : createUnknown(RefusalReason.ExecutorLost);
+	return isNotRun(state)
+		? createRefused(RefusalReason.Fenced)
+		: createUnknown(RefusalReason.ExecutorLost);
+}
+
+function isNotRun(state: AttemptState): boolean {
+	return state === AttemptState.Fenced || state === AttemptState.Refused;
 }
--- a/src/link/link-limits.ts
+++ b/src/link/link-limits.ts
@@ -21,5 +21,8 @@
 /** A link with calls in flight counts as broken after receiving nothing for this time. */
 export const silenceTimeout: Millis = 4 * heartbeatPeriod;
 
+/** Time for a peer to reply to a ping; a round trip between regions takes some tens of ms. */
+export const pingTimeout: Millis = 300;
+
 /** Streams that each side may have open on a link. */
 export const maxStreams = 4096;
--- a/src/link/link.ts
+++ b/src/link/link.ts
@@ -73,6 +73,7 @@
 	private sentAt: Millis;
 	private nextStream: number;
 	private reason = LinkCloseReason.PeerClosed;
+	private pendingPing: Promise<boolean> | undefined;
 
 	constructor(
 		private readonly socket: WebSocket,
@@ -149,6 +150,26 @@
 	 * @returns whether the peer has replied.
 	 */
 	async ping(patience: Millis): Promise<boolean> {
+		this.pendingPing ??= this.sendPing(patience).finally(() => {
+			this.pendingPing = undefined;
+		});
+		return this.pendingPing;
+	}
+
+	/**
+	 * Closes the link: with a closing handshake when stopping, otherwise by terminating the connection.
+	 * @param reason - passed to {@link LinkOwner.linkClosed}.
+	 */
+	close(reason: LinkCloseReason): void {
+		this.reason = reason;
+		if (reason === LinkCloseReason.Stopping) {
+			this.socket.close(normalClosure);
+		} else {
+			this.socket.terminate();
+		}
+	}
+
+	private async sendPing(patience: Millis): Promise<boolean> {
 		if (this.socket.readyState !== WebSocket.OPEN) {
 			return false;
 		}
@@ -170,19 +191,6 @@
 		return isAlive;
 	}
 
-	/**
-	 * Closes the link: with a closing handshake when stopping, otherwise by terminating the connection.
-	 * @param reason - passed to {@link LinkOwner.linkClosed}.
-	 */
-	close(reason: LinkCloseReason): void {
-		this.reason = reason;
-		if (reason === LinkCloseReason.Stopping) {
-			this.socket.close(normalClosure);
-		} else {
-			this.socket.terminate();
-		}
-	}
-
 	private listen(): void {
 		this.socket.on('message', (data, isBinary) => {
 			if (isBinary && data instanceof Uint8Array) {
--- a/src/link/outgoing-attempt.ts
+++ b/src/link/outgoing-attempt.ts
@@ -35,6 +35,13 @@
 	 * @returns the result; unknown when the executor could not be queried.
 	 */
 	resolveLostAttempt(attempt: Attempt, link: Link): Promise<AttemptResult>;
+	/**
+	 * Asks the peer on another link for an attempt on a silent one, so that the attempt never runs if it has not yet.
+	 * @param attempt - the attempt.
+	 * @param link - the silent link on which it was sent.
+	 * @returns whether the peer has confirmed that it never runs.
+	 */
+	fenceSilentAttempt(attempt: Attempt, link: Link): Promise<boolean>;
 }
 
 /** An attempt that this node sends to a peer. */
@@ -44,6 +51,7 @@
 	private sender: BodySender | undefined;
 	private receiver: BodyReceiver | undefined;
 	private isSettled = false;
+	private isFencing = false;
 	private readonly resolve: (result: AttemptResult) => void;
 	private readonly cleanups: Undo[] = [];
 
@@ -151,7 +159,8 @@
 
 	/**
 	 * Handles the loss of the peer. An idempotent attempt ends at once as unknown. Another one is resolved by
-	 * querying the executor when the link has closed, and goes on waiting when the peer is only silent.
+	 * querying the executor when the link has closed. When the peer is only silent, it ends as not run if it has not
+	 * run, and otherwise goes on waiting.
 	 * @param kind - reason why the peer counts as lost.
 	 */
 	handlePeerLost(kind: LossKind): void {
@@ -167,6 +176,18 @@
 		} else if (kind === LossKind.Closed) {
 			this.end();
 			void this.resolveLater();
+		} else if (!this.isFencing) {
+			this.isFencing = true;
+			void this.fence();
+		}
+	}
+
+	private async fence(): Promise<void> {
+		const isFenced = await this.delegate.fenceSilentAttempt(this.attempt, this.link);
+		this.isFencing = false;
+		if (isFenced && !this.isSettled) {
+			this.settle(createRefused(RefusalReason.LinkSilent));
+			this.end();
 		}
 	}
 
--- a/src/link/peer-session.ts
+++ b/src/link/peer-session.ts
@@ -124,12 +124,13 @@
 
 	/**
 	 * Checks that the peer can still be reached. An idle link is not watched, so it may have gone silent unnoticed.
+	 * @param maxQuiet - time in ms since the last frame from the peer up to which the link counts as working.
 	 * @param patience - longest wait for a reply of the peer, in ms.
 	 * @returns whether something was received from the peer a short time ago or is received now.
 	 */
-	async isAlive(patience: Millis): Promise<boolean> {
-		const silence = this.delegate.now() - this.link.lastReceived;
-		return silence < heartbeatPeriod || this.link.ping(patience);
+	async isAlive(maxQuiet: Millis, patience: Millis): Promise<boolean> {
+		const quiet = this.delegate.now() - this.link.lastReceived;
+		return quiet < maxQuiet || this.link.ping(patience);
 	}
 
 	/**
@@ -157,6 +158,8 @@
 				target === OpenTarget.Executor
 					? this.delegate.resolveLostAttempt(lost, link)
 					: createUnknown(RefusalReason.ExecutorLost),
+			fenceSilentAttempt: async (silent, link) =>
+				target === OpenTarget.Executor && this.delegate.fenceSilentAttempt(silent, link),
 		});
 		this.outgoing.set(stream, outgoing);
 		this.delegate.callStarted();
@@ -220,7 +223,7 @@
 		}
 	}
 
-	/** Ends the idempotent outgoing attempts, as the peer is silent. */
+	/** Ends the outgoing attempts that are idempotent or have not arrived, as the peer is silent. */
 	handleSilence(): void {
 		for (const outgoing of this.outgoing.values()) {
 			outgoing.handlePeerLost(LossKind.Silent);
