--- a/scaffold/mesh/mesh-backend.ts
+++ b/scaffold/mesh/mesh-backend.ts
@@ -95,7 +95,7 @@
 	/** @returns the status of the node's reply; undefined when it gave none. */
 	async heartbeat(change: Record<string, unknown> = {}): Promise<number | undefined> {
 		this.sequence += 1;
-		const {instance, service, born} = this.identity;
+		const {service, born} = this.identity;
 		const body = {
 			address: this.endpoint,
 			born,
@@ -103,7 +103,12 @@
 			status: {state: this.state, sequence: this.sequence, cold_remaining_ms: this.coldLeft},
 			...change,
 		};
-		return this.say(`/v1/instances/${instance}/heartbeat`, JSON.stringify(body));
+		return this.announce(JSON.stringify(body));
+	}
+
+	/** Sends a heartbeat with a body of any form; @returns the status of the node's reply. */
+	async announce(body: string): Promise<number | undefined> {
+		return this.say(`/v1/instances/${this.identity.instance}/heartbeat`, body);
 	}
 
 	async deregister(): Promise<number | undefined> {
