Take a refusal only for the attempt that it answers

A backend server that wrote an earlier refusal again on a kept connection made a running request end as not run, so that it could run twice.

Cause: a refusal without an id was accepted for any request, and one with the id of the request also for a later attempt of the same request.

--- a/src/executor/backend-client.ts
+++ b/src/executor/backend-client.ts
@@ -1,7 +1,13 @@
 import {PassThrough, type Readable} from 'node:stream';
-import {Pool} from 'undici';
+import {LRUCache} from 'lru-cache';
+import {Client, Pool, type Dispatcher} from 'undici';
 import type {Clock} from '../clock/index.js';
-import {maxInlineBodyBytes, type Attempt, type AttemptResult} from '../exchange/index.js';
+import {
+	AttemptEnd,
+	maxInlineBodyBytes,
+	type Attempt,
+	type AttemptResult,
+} from '../exchange/index.js';
 import {formatEndpoint, type Endpoint} from '../settings/index.js';
 import {
 	AbortedError,
@@ -23,6 +29,8 @@
 
 /** The backend server is on the same VM, where a refused connection is reported immediately. */
 const connectTimeoutMs = 1000;
+/** Refused requests that are remembered; a request is repeated within its deadline, if at all. */
+const maxRefusedRequests = 4096;
 
 function copyStream(stream: Readable): Readable {
 	// The undici library destroys the body of an aborted request; the caller's socket must stay open.
@@ -56,19 +64,14 @@
 export class BackendClient implements BackendSender {
 	private readonly pool: Pool;
 	private readonly resets = new ResetWatch();
+	private readonly refusedRequests = new LRUCache<string, true>({max: maxRefusedRequests});
 
 	constructor(
 		private readonly target: BackendTarget,
 		private readonly protocol: BackendProtocol,
 		private readonly clock: Pick<Clock, 'now'>,
 	) {
-		this.pool = new Pool(`http://${formatEndpoint(target.endpoint)}`, {
-			connections: target.connections,
-			pipelining: 1,
-			headersTimeout: 0,
-			bodyTimeout: 0,
-			connect: this.resets.createConnector(connectTimeoutMs),
-		});
+		this.pool = new Pool(this.origin, {...this.options, connections: target.connections});
 	}
 
 	async send(
@@ -78,14 +81,15 @@
 	): Promise<AttemptResult> {
 		const {head, body, cancellation, deadline} = attempt;
 		const timeLeft = deadline.timeLeft(this.clock.now());
-		return new Promise((resolve) => {
-			const {requestId} = head.origin;
+		const {requestId} = head.origin;
+		const result = await new Promise<AttemptResult>((resolve) => {
 			const {protocol, resets} = this;
 			const call = new BackendCall({requestId, protocol, resets, gate, listener, resolve});
 			cancellation.registerListener(() => {
 				call.cancel();
 			});
-			this.pool.dispatch(
+			this.dispatch(
+				requestId,
 				{
 					path: head.path,
 					method: head.method,
@@ -95,11 +99,45 @@
 				call,
 			);
 		});
+		if (result.end === AttemptEnd.Refused) {
+			this.refusedRequests.set(requestId, true);
+		}
+
+		return result;
 	}
 
 	close(): void {
 		void this.pool.close();
 	}
+
+	private get origin(): string {
+		return `http://${formatEndpoint(this.target.endpoint)}`;
+	}
+
+	private get options(): Client.Options {
+		return {
+			pipelining: 1,
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			connect: this.resets.createConnector(connectTimeoutMs),
+		};
+	}
+
+	// A faulty backend server may write a refusal again on a kept connection. There it would look like the answer to
+	// the same request when that is sent again, so the request gets a connection of its own.
+	private dispatch(
+		requestId: string,
+		options: Dispatcher.DispatchOptions,
+		call: BackendCall,
+	): void {
+		if (this.refusedRequests.has(requestId)) {
+			const client = new Client(this.origin, this.options);
+			client.dispatch(options, call);
+			void client.close();
+		} else {
+			this.pool.dispatch(options, call);
+		}
+	}
 }
 
 function undefinedIfEmpty(bytes: Uint8Array | undefined): Uint8Array | undefined {
