Read a change with fewer nodes where there are many zones

Cause: a change answers the polls of all readers at once, each with the whole row. Eight readers of the far region took eight copies of 205 KB over the link between the regions, and gossip and the deltas waited behind them.

--- a/scaffold/mesh/configuration-soak.ts
+++ b/scaffold/mesh/configuration-soak.ts
@@ -202,7 +202,7 @@
 	private async sendAlong(node: MeshNode): Promise<void> {
 		while (!this.isOver) {
 			const kind = this.requests % 2 === 0 ? 'safe' : 'unsafe';
-			const service = services[(this.requests >> 1) % services.length]!;
+			const service = services[Math.floor(this.requests / 2) % services.length]!;
 			void this.probe(node, `/${kind}-${service}/1`, kind === 'safe' ? 'GET' : 'POST');
 			await sleep(requestPeriod);
 		}
--- a/src/control/__tests__/unit/readers.test.ts
+++ b/src/control/__tests__/unit/readers.test.ts
@@ -36,6 +36,16 @@
 		expect(readers.every((id) => id.startsWith('10.0.0.'))).toBe(true);
 	});
 
+	// Guards against a change that waits behind its own copies on the link between two regions.
+	it('selects one member of its own zone where there are many zones', () => {
+		const {gossip} = createZone();
+		for (const zone of ['q', 'r', 's', 't']) {
+			gossip.directory.merge(createLocalMember(`10.0.9.1:70${zone}`, 1, {region: 'r', zone}));
+		}
+
+		expect(selectReaders(gossip)).toHaveLength(1);
+	});
+
 	it('replaces a reader as soon as it is suspected', () => {
 		const {gossip} = createZone();
 		const suspect = selectReaders(gossip).find((id) => id !== gossip.localMember.id)!;
--- a/src/control/readers.ts
+++ b/src/control/readers.ts
@@ -11,7 +11,13 @@
 import type {ReaderSlot} from './poll-schedule.js';
 import {zoneName} from './store-keys.js';
 
-const readersPerZone = 2;
+/**
+ * Number of readers that a deployment aims at, with one or two in each zone. A change is sent whole to each of them, so
+ * that more of them delay it where regions are joined by a narrow link. With fewer, a store that rejects a third of the
+ * nodes could reject them all.
+ */
+const aimedReaders = 8;
+const maxReadersPerZone = 2;
 /** A node receives gossip about five times a second; after this time without any it counts as isolated. */
 const isolationTimeout: Millis = 1200;
 
@@ -30,7 +36,8 @@
 		}
 	}
 
-	return rendezvous(zoneName(account.region, account.zone), ids, readersPerZone);
+	const perZone = readersPerZone(countByZone(gossip).size);
+	return rendezvous(zoneName(account.region, account.zone), ids, perZone);
 }
 
 /**
@@ -54,27 +61,39 @@
 		return {index: 0, count: 1};
 	}
 
-	const {directory, localMember: account} = gossip;
-	const readers = new Map<string, number>();
-	for (const member of directory.all()) {
-		if (isAvailable(member)) {
-			const zone = zoneName(member.region, member.zone);
-			readers.set(zone, Math.min(readersPerZone, (readers.get(zone) ?? 0) + 1));
-		}
-	}
-
+	const {localMember: account} = gossip;
+	const sizes = countByZone(gossip);
+	const perZone = readersPerZone(sizes.size);
 	const ownZone = zoneName(account.region, account.zone);
 	let before = 0;
 	let count = 0;
-	for (const [zone, size] of readers) {
-		before += zone < ownZone ? size : 0;
-		count += size;
+	for (const [zone, size] of sizes) {
+		const readers = Math.min(perZone, size);
+		before += zone < ownZone ? readers : 0;
+		count += readers;
 	}
 
 	const rank = Math.max(0, selectReaders(gossip).indexOf(account.id));
 	return {index: before + rank, count: Math.max(1, count)};
 }
 
+function readersPerZone(zones: number): number {
+	return Math.min(maxReadersPerZone, Math.max(1, Math.floor(aimedReaders / Math.max(1, zones))));
+}
+
+/** @returns number of available members of each zone. */
+function countByZone({directory}: Gossip): ReadonlyMap<string, number> {
+	const sizes = new Map<string, number>();
+	for (const member of directory.all()) {
+		if (isAvailable(member)) {
+			const zone = zoneName(member.region, member.zone);
+			sizes.set(zone, (sizes.get(zone) ?? 0) + 1);
+		}
+	}
+
+	return sizes;
+}
+
 function isIsolated(gossip: Gossip, clock: Pick<Clock, 'now'>): boolean {
 	return clock.now() - gossip.lastReceivedAt > isolationTimeout;
 }
