--- a/src/executor/backend-client.ts
+++ b/src/executor/backend-client.ts
@@ -1,6 +1,7 @@
 import {PassThrough, type Readable} from 'node:stream';
 import {LRUCache} from 'lru-cache';
 import {Client, Pool, type Dispatcher} from 'undici';
+import {RefusalReason} from '../call/index.js';
 import type {Clock} from '../clock/index.js';
 import {
 	AttemptEnd,
@@ -99,7 +100,7 @@
 				call,
 			);
 		});
-		if (result.end === AttemptEnd.Refused) {
+		if (result.end === AttemptEnd.Refused && result.reason === RefusalReason.BackendRefused) {
 			this.refusedRequests.set(requestId, true);
 		}
 
