Cancel attempts at their executor when they are overdue

Cause: an executor waited without a bound for the end of an attempt. It relied on the ingress, whose cancellation was lost with the link.

Change: an attempt is canceled by its executor one second past its deadline, which closes its connection to the backend server and frees its slot. Event 218 names it.

--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -19,7 +19,7 @@
 	type RequestHead,
 	type ZoneReport,
 } from '../call/index.js';
-import {minute, type Clock, type Millis} from '../clock/index.js';
+import {minute, second, type Clock, type Millis, type Undo} from '../clock/index.js';
 import {
 	AttemptEnd,
 	createRefused,
@@ -135,6 +135,8 @@
 /** Value of the metric while the backend server names no limit. */
 const noRateLimit = -1;
 const sweepInterval: Millis = 20;
+/** Time past the deadline of an attempt after which it is canceled here, if its ingress has not canceled it. */
+const overdueTime: Millis = second;
 const expiryInterval: Millis = 1000;
 /** Maximum age of a speed sample for a call that is not idempotent, as it cannot be hedged elsewhere. */
 const maxSpeedAgeNonIdempotent: Millis = 40;
@@ -557,6 +559,7 @@
 		const isSaturated = this.saturation.isSaturated(this.inFlight.size + 1, this.limits.slots);
 		this.inFlight.set(attempt, {request, startedAt: now, waited, slowdown, isSaturated});
 		this.reportIfFullOrFree();
+		const undoOverdue = this.cancelWhenOverdue(attempt);
 		let sentAt: Millis | undefined;
 		const result = await target.sender.send(
 			attempt,
@@ -579,6 +582,7 @@
 						coldLimit?.recordUnsent();
 					}
 
+					undoOverdue();
 					this.end(attempt, end);
 				},
 			},
@@ -592,6 +596,17 @@
 		return result;
 	}
 
+	// The cancellation by the ingress is lost with a link that goes silent, and so is the answer on a silent connection to
+	// the backend server. Without a bound of its own, the attempt would hold its slot for good.
+	private cancelWhenOverdue(attempt: Attempt): Undo {
+		const {clock, logger} = this.deps;
+		const {requestId: request, route} = attempt.head.origin;
+		return clock.after(attempt.deadline.timeLeft(clock.now()) + overdueTime, () => {
+			logger.log(logEvents.attemptOverdue, {request, route, backend: this.target?.instance});
+			attempt.cancellation.cancel();
+		});
+	}
+
 	// Runs in the same event loop turn as the write of the first byte, with nothing in between, so that a
 	// pause of the process cannot make a passed check stale.
 	private checkBeforeWrite(attempt: Attempt): RefusalReason | undefined {
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -103,6 +103,12 @@
 		warn,
 		'A body was not read to its end because it arrived too slowly or is too large.',
 	),
+	attemptOverdue: event(
+		218,
+		'attempt-overdue',
+		warn,
+		'An attempt past its deadline was canceled by its executor; a connection may have gone silent.',
+	),
 	backendWarm: event(216, 'backend-warm', info, 'The backend server is no longer cold.'),
 	callEnded: event(800, 'call-ended', info, 'A call has ended at its ingress.'),
 	callRetried: event(801, 'call-retried', info, 'A call gets a further attempt.'),
