Tell other regions of a revision at once

Cause: a node that learns of a revision tells members of its own region; to another region the news went with random probes only. Readers in each region hid it, unless all of them could not read the store.

Change: the reader that has read a revision first tells three members of each other region at once. The soak now reports the times of what it did and the latest events of a node.

--- a/scaffold/mesh/configuration-soak.ts
+++ b/scaffold/mesh/configuration-soak.ts
@@ -6,6 +6,8 @@
 export interface Violation {
 	readonly node: string;
 	readonly text: string;
+	/** Latest events of the node about revisions, the store and silent links, oldest first. */
+	readonly events: readonly string[];
 }
 
 interface Disruption {
@@ -20,6 +22,9 @@
 const requestPeriod = 100;
 const services = ['alpha', 'beta'] as const;
 const host = 'a.example';
+/** Hundreds of the numbers of events about nodes, revisions and the store. */
+const reportedEvents: ReadonlySet<number> = new Set([1, 5, 6]);
+const reportedCount = 16;
 /** Answers that promise that a request has not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -114,7 +119,7 @@
 			await sleep(requestPeriod);
 		}
 
-		this.history.push(`version ${this.version}`);
+		this.history.push(`version ${this.version} at ${new Date().toISOString().slice(17, 23)}`);
 	}
 
 	private async tryConfigure(): Promise<boolean> {
@@ -132,7 +137,7 @@
 		const running: Array<Promise<void>> = [];
 		for (let i = 0; i < count; i++) {
 			const disruption = this.drawDisruption();
-			this.history.push(disruption.name);
+			this.history.push(`${disruption.name} at ${new Date().toISOString().slice(17, 23)}`);
 			running.push(disruption.run());
 			await sleep(this.random.below(600));
 			await this.change();
@@ -262,18 +267,28 @@
 
 	private checkRuns(): void {
 		const runs = new Map<string, number>();
-		for (const {name, backend} of this.mesh.nodes) {
-			for (const {id, method} of backend.seen) {
+		for (const node of this.mesh.nodes) {
+			for (const {id, method} of node.backend.seen) {
 				runs.set(id, (runs.get(id) ?? 0) + 1);
 				if (method === 'POST' && (this.refused.has(id) || runs.get(id)! > 1)) {
 					const what = this.refused.has(id) ? 'was refused as not run' : 'ran twice';
-					this.report({name}, `${id} ${what} and ran`);
+					this.report(node, `${id} ${what} and ran`);
 				}
 			}
 		}
 	}
 
-	private report({name}: {name: string}, text: string): void {
-		this.violations.push({node: name, text: `${text}; after ${this.history.slice(-6).join(', ')}`});
+	private report(node: MeshNode, text: string): void {
+		const events = this.mesh
+			.log(node)
+			.filter(({number}) => reportedEvents.has(Math.floor(Number(number) / 100)) || number === 304)
+			.slice(-reportedCount);
+		this.violations.push({
+			node: node.name,
+			text: `${new Date().toISOString()} ${text}; after ${this.history.slice(-8).join(', ')}`,
+			events: events.map((event) =>
+				JSON.stringify({...event, level: undefined, message: undefined}),
+			),
+		});
 	}
 }
--- a/scaffold/soak.ts
+++ b/scaffold/soak.ts
@@ -17,8 +17,11 @@
 
 	broken += soak.violations.length > 0 ? 1 : 0;
 	console.log(`seed ${seed}: ${soak.violations.length} violations`);
-	for (const {node, text} of soak.violations) {
+	for (const {node, text, events} of soak.violations) {
 		console.log(`  ${node}: ${text}`);
+		for (const event of events) {
+			console.log(`    ${event}`);
+		}
 	}
 }
 
--- a/src/control/configuration-feed.ts
+++ b/src/control/configuration-feed.ts
@@ -69,6 +69,8 @@
 /** Delay before content that could not be fetched is requested again. */
 const refetchPeriod: Millis = 200;
 const broadcastFanOut = 4;
+/** Members of each other region that learn of a revision directly from the reader that has read it first. */
+const otherRegionFanOut = 3;
 
 /**
  * Follows the configuration that operators write to the store. A revision that the store has acknowledged
@@ -120,9 +122,15 @@
 	 * @param from - id of the peer.
 	 */
 	handleKnownRevisions(known: KnownRevisions, from: string): void {
-		if (this.deps.revisions.merge(known)) {
+		const {revisions, gossip} = this.deps;
+		if (revisions.merge(known)) {
 			this.lastReporter = from;
-			this.deps.gossip.broadcastUpdates(broadcastFanOut);
+			gossip.broadcastUpdates(broadcastFanOut);
+			// The readers of another region may all be unable to read the store.
+			if (from === gossip.localMember.id) {
+				gossip.pingOtherRegions(otherRegionFanOut);
+			}
+
 			void this.fetchMissing();
 		}
 	}
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -235,6 +235,17 @@
 		}
 	}
 
+	/**
+	 * Pings random members of each other region, which learn the newest revisions with it. Random probes cross to another
+	 * region too seldom for news that must be known everywhere within seconds.
+	 * @param count - maximum number of members of each region.
+	 */
+	pingOtherRegions(count: number): void {
+		for (const peer of this.targets.sampleOtherRegions(count)) {
+			this.ping(peer.id, false);
+		}
+	}
+
 	/** Sends queued updates to some peers immediately; called by a node that is about to leave. */
 	flush(): void {
 		const peers = [...this.directory.all()].filter(
--- a/src/membership/probe-targets.ts
+++ b/src/membership/probe-targets.ts
@@ -96,6 +96,23 @@
 		return sample(candidates, count, this.random);
 	}
 
+	/**
+	 * @param count - maximum number of members of each region.
+	 * @returns random present members of the other regions.
+	 */
+	sampleOtherRegions(count: number): Member[] {
+		const byRegion = new Map<string, Member[]>();
+		for (const member of this.directory.all()) {
+			if (isPresent(member) && member.region !== this.self().region) {
+				const members = byRegion.get(member.region) ?? [];
+				members.push(member);
+				byRegion.set(member.region, members);
+			}
+		}
+
+		return [...byRegion.values()].flatMap((members) => sample(members, count, this.random));
+	}
+
 	private isInOwnZone(member: Member): boolean {
 		const self = this.self();
 		const isOther = member.id !== self.id && isPresent(member);
