Check quiet links only after one has gone silent

Cause, as far as it is known: attempts that may run once at most were preceded by a ping on each link that had been quiet for 0.8 s, which costs processor time and a round trip where many links carry few calls.

Change: quiet links are checked for 5 s after one was found silent.

--- a/src/link/link-hub.ts
+++ b/src/link/link-hub.ts
@@ -1,6 +1,6 @@
 import {WebSocket, WebSocketServer} from 'ws';
 import {AttemptState, isRegionAllowed, RefusalReason, type LoadReport} from '../call/index.js';
-import type {Millis, Undo} from '../clock/index.js';
+import {second, type Millis, type Undo} from '../clock/index.js';
 import {
 	createRefused,
 	createUnknown,
@@ -53,6 +53,8 @@
 type Dial = {promise: Promise<PeerSession | undefined>};
 
 const statusRetryPeriod: Millis = 100;
+/** Time after a link has gone silent in which quiet links are checked before attempts that must not run twice. */
+const suspicionTime: Millis = 5 * second;
 
 /** Opens, accepts, reuses and monitors all links of a node. */
 export class LinkHub {
@@ -67,6 +69,8 @@
 	private server: WebSocketServer | undefined;
 	private cancelLivenessCheck: Undo | undefined;
 	private isStopped = false;
+	/** Time at which a link was last found to be silent. */
+	private silentAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly deps: LinkHubDependencies) {
 		this.owner = {
@@ -248,10 +252,12 @@
 	}
 
 	private async run(id: string, attempt: Attempt, target: OpenTarget): Promise<AttemptResult> {
-		// An idempotent attempt is repeated soon after its link has gone silent, so it need not wait for a check.
-		const session = attempt.head.isIdempotent
-			? (this.sessions.get(id) ?? (await this.connect(id)))
-			: await this.connectAlive(id, silenceTimeout, pingTimeout);
+		// Where one link has gone silent, others may have too. An idempotent attempt is repeated without a check.
+		const isSuspect = this.owner.clock.now() - this.silentAt < suspicionTime;
+		const session =
+			isSuspect && !attempt.head.isIdempotent
+				? await this.connectAlive(id, silenceTimeout, pingTimeout)
+				: (this.sessions.get(id) ?? (await this.connect(id)));
 		if (!session) {
 			return createRefused(RefusalReason.LinkUnreachable);
 		}
@@ -428,6 +434,7 @@
 	private stopUsing(id: string, session: PeerSession): void {
 		if (this.sessions.get(id) === session) {
 			this.sessions.delete(id);
+			this.silentAt = this.owner.clock.now();
 			this.deps.logger.log(logEvents.linkSilent, {peer: id, calls: session.callsInFlight});
 		}
 	}
