Leave rows of the roster out that name no address

Cause: a starting node contacts a sample of the rows, and rows without a usable address took the places of members in it.

Change: such rows are left out when the roster is read.

Test, red before: roster.test.ts, 'contacts no row that names no address'.

--- a/src/control/__tests__/unit/roster.test.ts
+++ b/src/control/__tests__/unit/roster.test.ts
@@ -116,6 +116,22 @@
 const minutes = 60_000;
 
 describe('Roster', () => {
+	// Guards against rows of other writers that take the places of members in the samples that are contacted.
+	it('contacts no row that names no address', async () => {
+		const {roster, joined, addRow, advance, receiveFrom} = createFixture();
+		for (const id of ['10.0.0.3:99999', '10.0.0.4:-1', 'not an address', 'k'.repeat(200)]) {
+			await addRow(id);
+		}
+
+		await addRow('10.0.0.2:7001');
+		const enrolled = roster.enroll();
+		await advance(200);
+		expect(joined).toEqual(['10.0.0.2:7001']);
+		receiveFrom('10.0.0.2:7001');
+		await advance(500);
+		await enrolled;
+	});
+
 	it('reads the rows, writes its missing row and joins the others', async () => {
 		const {roster, store, joined, addRow, advance, receiveFrom} = createFixture();
 		await addRow('10.0.0.2:7001');
--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -7,6 +7,7 @@
 	type Member,
 } from '../membership/index.js';
 import {sample, type Random} from '../random/index.js';
+import {parseEndpoint} from '../settings/index.js';
 import {Precondition, type Row, type TableService, StoreUnavailableError} from '../store/index.js';
 import {logEvents, type Logger} from '../telemetry/index.js';
 import {pause, rendezvous} from '../util/index.js';
@@ -267,7 +268,9 @@
 
 	private async read(): Promise<Map<string, Row>> {
 		const rows = await this.deps.store.list(memberPrefix);
-		return new Map(rows.map((row) => [row.key.slice(memberPrefix.length), row]));
+		const byId = rows.map((row) => [row.key.slice(memberPrefix.length), row] as const);
+		// Rows of other writers that name no address would take the places of members in the samples that are contacted.
+		return new Map(byId.filter(([id]) => parseEndpoint(id) !== undefined));
 	}
 
 	private async removeAbsent(): Promise<void> {
