--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -81,6 +81,8 @@
 
 const ports = {callers: 7600, readiness: 7601, announcements: 7602, link: 7603, operators: 7604};
 const storePort = 7690;
+/** Start of all addresses; another second octet lets the tests of two checkouts run at the same time. */
+export const meshNetwork = `127.${process.env.MESH_OCTET ?? '31'}`;
 /** Relays have the addresses of their nodes, this much higher. */
 const relayOffset = 100;
 const waitLimit = 20_000;
@@ -130,7 +132,7 @@
 	) {}
 
 	private get store(): string {
-		return `127.31.${this.subnet}.1:${storePort}`;
+		return `${meshNetwork}.${this.subnet}.1:${storePort}`;
 	}
 
 	async startStore(): Promise<void> {
@@ -141,12 +143,12 @@
 	/** Starts a node with its backend server; waits until the node listens. */
 	async addNode(options: MeshNodeOptions): Promise<MeshNode> {
 		const index = this.nodes.length + 1;
-		const address = `127.31.${this.subnet}.${10 + index}`;
+		const address = `${meshNetwork}.${this.subnet}.${10 + index}`;
 		const control = `${address}:${ports.announcements}`;
 		const identity = {instance: `i-${index}`, service: options.service, born: 1000 + index};
 		const backend = new MeshBackend(identity, address, control);
 		await backend.listen();
-		const relayAddress = `127.31.${this.subnet}.${relayOffset + index}`;
+		const relayAddress = `${meshNetwork}.${this.subnet}.${relayOffset + index}`;
 		const relay = options.hasRelay ? new LinkRelay(relayAddress, address, ports.link) : undefined;
 		await relay?.listen();
 		const node = {...options, name: `node-${index}`, address, backend, relay};
--- a/tests/odd-entries.test.ts
+++ b/tests/odd-entries.test.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
-import {Mesh, type MeshNode, type MeshRoute} from '../scaffold/mesh/mesh.js';
+import {Mesh, meshNetwork, type MeshNode, type MeshRoute} from '../scaffold/mesh/mesh.js';
 
 const routes: MeshRoute[] = [
 	{host: 'a.example', prefix: '/a/', kind: 'safe', service: 'alpha'},
@@ -11,26 +11,26 @@
 
 /** Rows of the roster as another writer may leave them: key and value. */
 const oddMembers: ReadonlyArray<readonly [string, string]> = [
-	['127.31.62.11:99999', JSON.stringify(place)],
-	['127.31.62.90:-1', JSON.stringify(place)],
-	['127.31.62.91:1e300', JSON.stringify(place)],
+	[`${meshNetwork}.62.11:99999`, JSON.stringify(place)],
+	[`${meshNetwork}.62.90:-1`, JSON.stringify(place)],
+	[`${meshNetwork}.62.91:1e300`, JSON.stringify(place)],
 	['[::1]:7603', JSON.stringify(place)],
 	['::1:7603', JSON.stringify(place)],
 	['not an address', JSON.stringify(place)],
 	['k'.repeat(200), JSON.stringify(place)],
-	['127.31.62.92:7603', nested(8000)],
-	['127.31.62.93:7603', JSON.stringify({...place, region: 'r'.repeat(40_000)})],
-	['127.31.62.94:7603', JSON.stringify({...place, zone: 'z'.repeat(3000)})],
-	['127.31.62.95:7603', JSON.stringify({...place, service: 's'.repeat(3000)})],
-	['127.31.62.96:7603', '[]'],
-	['127.31.62.97:7603', '{"region":1e400,"zone":{},"service":[]}'],
-	['127.31.62.98:7603', '\u{0}\u{FFFF}'],
+	[`${meshNetwork}.62.92:7603`, nested(8000)],
+	[`${meshNetwork}.62.93:7603`, JSON.stringify({...place, region: 'r'.repeat(40_000)})],
+	[`${meshNetwork}.62.94:7603`, JSON.stringify({...place, zone: 'z'.repeat(3000)})],
+	[`${meshNetwork}.62.95:7603`, JSON.stringify({...place, service: 's'.repeat(3000)})],
+	[`${meshNetwork}.62.96:7603`, '[]'],
+	[`${meshNetwork}.62.97:7603`, '{"region":1e400,"zone":{},"service":[]}'],
+	[`${meshNetwork}.62.98:7603`, '\u{0}\u{FFFF}'],
 ];
 
 /** Fields of heartbeats that name no backend server to use. */
 const oddHeartbeats: ReadonlyArray<Record<string, unknown>> = [
-	{address: '127.31.62.11:99999'},
-	{address: '127.31.62.11:0'},
+	{address: `${meshNetwork}.62.11:99999`},
+	{address: `${meshNetwork}.62.11:0`},
 	{info: {service: 'alpha', version: 'v1', zone: 'z', slots: 1e15}},
 	{info: {service: 'alpha', version: 'v1', zone: 'z', slots: 2 ** 32}},
 	{info: {service: 's'.repeat(30_000), version: 'v1', zone: 'z', slots: 4}},
