Report answers that end early at a caller

Event 814 names the request, what ended the answer, the bytes forwarded and the time since the last of them; turmeric_answers_cut_total counts by the same reasons, also callers that leave. Events 103 and 105 tell how many requests the stop has cut. No routing or stop logic changes.

--- a/src/exchange/index.ts
+++ b/src/exchange/index.ts
@@ -9,6 +9,7 @@
 	type RefusedAttempt,
 	type UnknownAttempt,
 } from './attempt.js';
+export {BodyLostError} from './body-lost-error.js';
 export {createStreamBody, createBufferedBody, maxInlineBodyBytes, type Body} from './body.js';
 export type {Call, CallEnd} from './call.js';
 export {Cancellation} from './cancellation.js';
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -20,6 +20,7 @@
 import type {DeclarationIndex, RevisionTracker} from '../declaration/index.js';
 import {
 	AttemptEnd,
+	BodyLostError,
 	Cancellation,
 	maxInlineBodyBytes,
 	type AnsweredAttempt,
@@ -27,9 +28,16 @@
 	type Call,
 	type CallEnd,
 } from '../exchange/index.js';
-import {logEvents, PipelineHandling, type Logger, type Metrics} from '../telemetry/index.js';
+import {
+	AnswerCut,
+	logEvents,
+	PipelineHandling,
+	type Logger,
+	type Metrics,
+} from '../telemetry/index.js';
 import {bindPort} from '../net/index.js';
 import {withResolvers} from '../util/index.js';
+import {AnswerWatch} from './answer-watch.js';
 import type {CallQuota} from './call-quota.js';
 import {CallerConnection, ConnectionClosedError, type CallerTurn} from './caller-connection.js';
 import {
@@ -96,9 +104,7 @@
 	/** What each customer uses here. */
 	readonly customers: CustomerUsage;
 	private readonly server: Server;
-	private readonly calls = new Set<ServerResponse>();
-	/** Complete answers that their connections have not taken completely. */
-	private readonly unsent = new Set<ServerResponse>();
+	private readonly answers: AnswerWatch;
 	private readonly connections = new WeakMap<Duplex, CallerConnection>();
 	private readonly newest: NewestConfiguration;
 	/** Requests whose callers wait to be told that their bodies are read. */
@@ -109,6 +115,7 @@
 	private leavesAt: Millis | undefined;
 
 	constructor(private readonly deps: IngressDependencies) {
+		this.answers = new AnswerWatch(deps);
 		this.customers = new CustomerUsage(deps.clock, deps.metrics, maxSharedInFlight);
 		this.newest = new NewestConfiguration(deps.clock, deps.revisions, () => deps.configuration());
 		this.bodyMemory = new BodyMemory(maxBodyMemory, (bytes) => {
@@ -141,7 +148,7 @@
 
 	/** Number of requests whose answers have not been taken completely by their connections. */
 	get inFlight(): number {
-		return this.calls.size + this.unsent.size;
+		return this.answers.inFlight;
 	}
 
 	/**
@@ -190,6 +197,14 @@
 		this.server.closeIdleConnections();
 	}
 
+	/**
+	 * Reports the requests that are cut because the process ends.
+	 * @returns their number.
+	 */
+	reportRemaining(): number {
+		return this.answers.reportRemaining();
+	}
+
 	private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const startedAt = this.deps.clock.now();
 		const turn = this.connectionOf(req.socket).receive(req, res);
@@ -197,34 +212,23 @@
 			return;
 		}
 
-		this.calls.add(res);
-		this.deps.metrics.inFlight.set(this.calls.size);
+		this.answers.enter(res, req.url);
+		this.deps.metrics.inFlight.set(this.answers.callCount);
 		let outcome = Outcome.NotRun;
 		try {
 			outcome = await this.answer(req, turn);
 		} catch (err) {
 			outcome = await this.answerError(err, turn);
 		} finally {
-			this.calls.delete(res);
-			this.trackUnsent(res);
+			this.answers.leave(res);
 			this.customers.leave(res, outcome);
 			const {metrics, clock} = this.deps;
-			metrics.inFlight.set(this.calls.size);
+			metrics.inFlight.set(this.answers.callCount);
 			metrics.calls.inc({outcome});
 			metrics.duration.observe({outcome}, (clock.now() - startedAt) / second);
 		}
 	}
 
-	// A caller may take an answer slowly; a node that stops must not leave before.
-	private trackUnsent(res: ServerResponse): void {
-		if (res.writableEnded && !res.writableFinished && !res.destroyed) {
-			this.unsent.add(res);
-			res.once('close', () => {
-				this.unsent.delete(res);
-			});
-		}
-	}
-
 	private connectionOf(socket: Socket): CallerConnection {
 		const known = this.connections.get(socket);
 		if (known) {
@@ -249,7 +253,7 @@
 	}
 
 	private async answer(req: IncomingMessage, turn: CallerTurn): Promise<Outcome> {
-		if (this.calls.size > maxInFlight) {
+		if (this.answers.callCount > maxInFlight) {
 			throw new RefusedRequestError(RefusalReason.TooManyCalls);
 		}
 
@@ -372,7 +376,8 @@
 			throw new RefusedRequestError(RefusalReason.Draining);
 		}
 
-		this.customers.enter(turn.res, parameters, this.calls.size);
+		this.customers.enter(turn.res, parameters, this.answers.callCount);
+		this.answers.identify(turn.res, parameters.origin);
 		const body = await this.readAdmittedBody(req, turn.res, parameters, index);
 		const head = createHead(req, parameters, body);
 		const cancellation = new Cancellation();
@@ -479,7 +484,7 @@
 		}
 
 		if (result.end === AttemptEnd.Answered) {
-			return this.sendAnswer(turn, result, protocol.answerHeaders(call, end));
+			return this.sendAnswer(turn, call, result, protocol.answerHeaders(call, end));
 		}
 
 		const {reason} = result;
@@ -500,6 +505,7 @@
 
 	private async sendAnswer(
 		turn: CallerTurn,
+		call: Call,
 		result: AnsweredAttempt,
 		extraHeaders: HeaderList,
 	): Promise<Outcome> {
@@ -539,13 +545,18 @@
 			res.end();
 			resolve(Outcome.Answered);
 		});
-		stream?.once('error', () => {
+		stream?.on('data', (chunk: Uint8Array) => {
+			this.answers.recordProgress(res, chunk.length);
+		});
+		stream?.once('error', (err) => {
+			this.answers.reportCut(res, this.reasonOfCut(call, err));
 			// Closing the connection shows the caller that the answer is truncated.
 			res.destroy();
 			resolve(Outcome.Unknown);
 		});
 		res.once('close', () => {
 			if (!res.writableFinished) {
+				this.answers.reportCut(res, AnswerCut.Caller);
 				stream?.destroy();
 				resolve(Outcome.Unknown);
 			}
@@ -554,6 +565,15 @@
 		return promise;
 	}
 
+	private reasonOfCut(call: Call, err: Error): AnswerCut {
+		if (call.deadline.timeLeft(this.deps.clock.now()) <= 0) {
+			return AnswerCut.Deadline;
+		}
+
+		const isLinkLost = err instanceof BodyLostError && err.reason === RefusalReason.ExecutorLost;
+		return isLinkLost ? AnswerCut.Link : AnswerCut.Backend;
+	}
+
 	private logEnd(call: Call, end: CallEnd): void {
 		const {result} = end;
 		const {clock, logger} = this.deps;
--- a/src/link/body-receiver.ts
+++ b/src/link/body-receiver.ts
@@ -1,14 +1,10 @@
 import {Readable} from 'node:stream';
-import type {HeaderList} from '../call/index.js';
+import type {HeaderList, RefusalReason} from '../call/index.js';
+import {BodyLostError} from '../exchange/index.js';
 import {FrameType} from './frame.js';
 import type {Link} from './link.js';
 import {windowBytes} from './link-limits.js';
 
-/** A streamed body was truncated. */
-export class BodyLostError extends Error {
-	override name = 'BodyLostError';
-}
-
 /** Receives a streamed body and grants the sender credit as the reader consumes it. */
 export class BodyReceiver extends Readable {
 	/** Filled in when the body has ended. */
@@ -48,9 +44,12 @@
 		this.push(null);
 	}
 
-	/** Ends the body as truncated: destroys the stream with a {@link BodyLostError}. */
-	fail(): void {
-		this.destroy(new BodyLostError('body truncated: the sender failed or the link was lost'));
+	/**
+	 * Ends the body as truncated: destroys the stream with a {@link BodyLostError}.
+	 * @param reason - why no more of it arrives.
+	 */
+	fail(reason: RefusalReason): void {
+		this.destroy(new BodyLostError(reason));
 	}
 
 	override _read(): void {
--- a/src/link/incoming-attempt.ts
+++ b/src/link/incoming-attempt.ts
@@ -1,4 +1,4 @@
-import {Deadline, type LoadReport} from '../call/index.js';
+import {Deadline, RefusalReason, type LoadReport} from '../call/index.js';
 import type {Millis} from '../clock/index.js';
 import {
 	AttemptEnd,
@@ -95,7 +95,7 @@
 			}
 
 			case FrameType.Failed: {
-				this.receiver?.fail();
+				this.receiver?.fail(frame.reason);
 				return true;
 			}
 
@@ -120,7 +120,7 @@
 	 * twice, and it may have run already.
 	 */
 	handlePeerLost(): void {
-		this.receiver?.fail();
+		this.receiver?.fail(RefusalReason.ExecutorLost);
 		this.sender?.cancel();
 		if (this.frame.isIdempotent) {
 			this.cancellation.cancel();
--- a/src/link/index.ts
+++ b/src/link/index.ts
@@ -1,4 +1,4 @@
-export {BodyLostError, BodyReceiver} from './body-receiver.js';
+export {BodyReceiver} from './body-receiver.js';
 export {decodeFrame, encodeFrame, FrameDecodeError} from './frame-codec.js';
 export {FrameType, OpenTarget, protocolVersion, type Frame} from './frame.js';
 export {LinkCloseReason, type PeerIdentity} from './link.js';
--- a/src/link/outgoing-attempt.ts
+++ b/src/link/outgoing-attempt.ts
@@ -164,7 +164,7 @@
 	 * @param kind - reason why the peer counts as lost.
 	 */
 	handlePeerLost(kind: LossKind): void {
-		this.receiver?.fail();
+		this.receiver?.fail(RefusalReason.ExecutorLost);
 		if (this.isSettled) {
 			this.end();
 			return;
@@ -220,7 +220,7 @@
 
 	private handleFailure(reason: RefusalReason): void {
 		if (this.isSettled) {
-			this.receiver?.fail();
+			this.receiver?.fail(reason);
 		} else {
 			this.settle(createUnknown(reason));
 		}
@@ -247,7 +247,7 @@
 
 	private abandon(reason: RefusalReason): void {
 		this.link.send({type: FrameType.Cancel, stream: this.stream});
-		this.receiver?.fail();
+		this.receiver?.fail(reason);
 		this.settle(createUnknown(reason));
 		this.end();
 	}
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -148,6 +148,12 @@
 		info,
 		'Bytes on the connection of a caller could not be parsed, or came too late.',
 	),
+	answerCut: event(
+		814,
+		'answer-cut',
+		warn,
+		'An answer ended at its caller before it was complete.',
+	),
 	backendDeparted: event(
 		207,
 		'backend-departed',
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -21,6 +21,20 @@
 	Late = 'late',
 }
 
+/** What ended an answer at a caller before it was complete. */
+export enum AnswerCut {
+	/** The deadline of the request passed. */
+	Deadline = 'deadline',
+	/** The backend server, or its executor, broke the answer off. */
+	Backend = 'backend',
+	/** The link to the executor was lost. */
+	Link = 'link',
+	/** The connection of the caller closed. */
+	Caller = 'caller',
+	/** The node left. */
+	Stop = 'stop',
+}
+
 /** Kind of traffic on a link. */
 export enum TrafficKind {
 	Call = 'call',
@@ -97,6 +111,13 @@
 		registers: [this.registry],
 	});
 
+	readonly answersCut = new Counter({
+		name: 'turmeric_answers_cut_total',
+		help: 'Answers that ended at a caller before they were complete, by what ended them.',
+		labelNames: ['cut'],
+		registers: [this.registry],
+	});
+
 	readonly lateAnswers = new Counter({
 		name: 'turmeric_late_answers_total',
 		help: 'Answers dropped because they arrived after their attempt had ended.',
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -292,9 +292,10 @@
 		gossip.updateLocalMember({phase: MemberPhase.Left});
 		gossip.flush();
 		await pause(clock, leaveNoticeTime);
+		const cut = this.ingress.reportRemaining();
 		this.closeAll();
 		lifecycle.send({type: NodeEvent.Finished});
-		this.logger.log(isClean ? logEvents.nodeStopped : logEvents.nodeStopForced);
+		this.logger.log(isClean ? logEvents.nodeStopped : logEvents.nodeStopForced, {cut});
 		return isClean;
 	}
 
--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -170,9 +170,10 @@
 		gossip.updateLocalMember({phase: MemberPhase.Left});
 		gossip.flush();
 		await pause(this.clock, leaveNoticeTime);
+		const cut = this.ingress.reportRemaining();
 		this.closeAll();
 		lifecycle.send({type: NodeEvent.Finished});
-		this.logger.log(isClean ? logEvents.nodeStopped : logEvents.nodeStopForced);
+		this.logger.log(isClean ? logEvents.nodeStopped : logEvents.nodeStopForced, {cut});
 		return isClean;
 	}
 
