Grant a body's credit by what its reader has taken

BodyReceiver granted credit only in _read(), and only when half of the window was wanted. The stream class calls _read() before it takes a chunk, and not again before a push. Called with the window full, it granted nothing, so that nothing could be pushed and it was never called again: both ends waited.

The credit is now checked after each call that takes or adds bytes. Between calls, unread bytes and outstanding credit exceed half of the window, so either the sender may send or the reader has bytes to take. Window and frames are unchanged.

--- a/src/link/body-receiver.ts
+++ b/src/link/body-receiver.ts
@@ -5,11 +5,18 @@
 import type {Link} from './link.js';
 import {windowBytes} from './link-limits.js';
 
-/** Receives a streamed body and grants the sender credit as the reader consumes it. */
+/**
+ * Receives a streamed body and grants the sender credit as the reader takes it.
+ *
+ * Every call that takes bytes from the buffer or adds some ends with a check of the credit. So between calls, unread
+ * bytes and outstanding credit together exceed half of the window: either the sender may send or the reader finds
+ * bytes to take. The calls of `_read` play no part, as the stream class makes no further one before a push.
+ */
 export class BodyReceiver extends Readable {
 	/** Filled in when the body has ended. */
 	readonly trailers: HeaderList = [];
 	private outstandingCredit: number;
+	private isComplete = false;
 
 	constructor(
 		private readonly link: Link,
@@ -32,6 +39,8 @@
 		}
 
 		this.push(bytes);
+		// A reader that waits for data gets the chunk within `push`, without a call of `read`.
+		this.grantCredit();
 		return true;
 	}
 
@@ -40,6 +49,7 @@
 	 * @param trailers - trailers that followed the body.
 	 */
 	finish(trailers: HeaderList): void {
+		this.isComplete = true;
 		this.trailers.push(...trailers);
 		this.push(null);
 	}
@@ -52,9 +62,23 @@
 		this.destroy(new BodyLostError(reason));
 	}
 
-	override _read(): void {
+	/**
+	 * All ways to read a stream take its bytes here; the first call also asks for a body without initial credit.
+	 * @param size - see {@link Readable.read}.
+	 * @returns see {@link Readable.read}.
+	 */
+	override read(size?: number): unknown {
+		const chunk: unknown = super.read(size);
+		this.grantCredit();
+		return chunk;
+	}
+
+	// Chunks are pushed as they arrive.
+	override _read(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
+
+	private grantCredit(): void {
 		const wanted = windowBytes - this.readableLength - this.outstandingCredit;
-		if (wanted >= windowBytes / 2) {
+		if (wanted >= windowBytes / 2 && !this.isComplete && !this.destroyed) {
 			this.outstandingCredit += wanted;
 			this.link.send({type: FrameType.Credit, stream: this.stream, bytes: wanted});
 		}
--- /dev/null
+++ b/tests/large-answers.test.ts
@@ -0,0 +1,110 @@
+import {Buffer} from 'node:buffer';
+import {connect} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {eventually, Mesh, type MeshNode, type MeshRoute} from '../scaffold/mesh/mesh.js';
+
+/** A stalled answer is cut at this deadline. */
+const timeout = 8000;
+const routes: MeshRoute[] = [
+	{host: 'a.example', prefix: '/safe/', kind: 'safe', service: 'alpha', timeout_ms: timeout},
+	{host: 'a.example', prefix: '/unsafe/', kind: 'unsafe', service: 'alpha', timeout_ms: timeout},
+];
+const answerBytes = 500_000;
+const parts = 10;
+const lanes = 6;
+const callsPerLane = 12;
+
+describe('an answer above 64 KiB', () => {
+	const mesh = new Mesh(65);
+	let executor: MeshNode;
+	let ingress: MeshNode;
+
+	beforeAll(async () => {
+		await mesh.startStore();
+		executor = await mesh.addNode({zone: 'a', region: 'one', service: 'alpha'});
+		ingress = await mesh.addNode({zone: 'b', region: 'one', service: 'beta'});
+		await mesh.configure(routes);
+		await mesh.settle();
+		await eventually(async () => (await mesh.statusFor(ingress, {path: '/safe/0'})) === 200);
+		executor.backend.behavior = ({id, path, headers}, res) => {
+			if (!path.includes('large')) {
+				return false;
+			}
+
+			const isOnce = headers['x-once'] !== undefined;
+			res.writeHead(200, {
+				'x-attempt-id': id,
+				'x-server-signature': 'signed',
+				'x-instance-id': executor.backend.identity.instance,
+				'content-length': answerBytes,
+			});
+			const write = async () => {
+				const size = answerBytes / (isOnce ? 1 : parts);
+				for (let at = 0; at < answerBytes && !res.destroyed; at += size) {
+					res.write(Buffer.alloc(size, 'y'));
+					await sleep(isOnce ? 0 : 5);
+				}
+
+				res.end();
+			};
+
+			void write();
+			return true;
+		};
+	});
+
+	afterAll(async () => {
+		await mesh.stop();
+	});
+
+	// Guards against a stall of the link's flow control, which ends at the deadline as a cut answer.
+	it('arrives whole at a caller of another node, as does an upload of this size', async () => {
+		const send = async (n: number): Promise<number | string> => {
+			const headers: Record<string, string> = n % 2 === 0 ? {'x-once': '1'} : {};
+			if (n % 3 === 0) {
+				const body = 'x'.repeat(answerBytes);
+				const req = {path: '/unsafe/echo', method: 'PUT', body, deadline: timeout};
+				const answer = await mesh.send(ingress, req);
+				return answer.body.endsWith(body) ? answerBytes : `${answer.status} ${answer.body}`;
+			}
+
+			const answer = await mesh.send(ingress, {path: '/safe/large', deadline: timeout, headers});
+			return answer.body.length;
+		};
+
+		const sizes = await Promise.all(
+			Array.from({length: lanes}, async (_, lane) => {
+				const got: Array<number | string> = [];
+				for (let n = 0; n < callsPerLane; n += 1) {
+					got.push(await send(lane + n).catch(String));
+				}
+
+				return got;
+			}),
+		);
+		expect(sizes.flat().filter((size) => size !== answerBytes)).toEqual([]);
+	});
+
+	// The answer fills its window before anything reads it.
+	it('arrives whole when it waits for its turn on a connection', async () => {
+		executor.backend.work = 300;
+		const requests = ['/safe/first', '/safe/large'].map((path, i) => {
+			const id = `X-Attempt-Id: turn-${i}\r\nX-Request-Deadline: ${timeout}\r\n`;
+			const close = i === 1 ? 'Connection: close\r\n' : '';
+			return `GET ${path} HTTP/1.1\r\nHost: a.example\r\n${id}${close}\r\n`;
+		});
+		const text = await new Promise<string>((resolve, reject) => {
+			const socket = connect(mesh.callerPort, ingress.address);
+			const chunks: Buffer[] = [];
+			socket.on('data', (chunk) => chunks.push(chunk));
+			socket.once('error', reject);
+			socket.once('close', () => {
+				resolve(Buffer.concat(chunks).toString('latin1'));
+			});
+			socket.write(requests.join(''));
+		});
+		expect(text.match(/^HTTP\/1\.1 \d+/gmv)).toEqual(['HTTP/1.1 200', 'HTTP/1.1 200']);
+		expect(text.length - text.lastIndexOf('\r\n\r\n') - 4).toBe(answerBytes);
+	});
+});
