End the stream of an answer that its receiver has canceled

After a caller had left in the middle of a streamed answer, or one was cut at its deadline, the node beside the backend server did not stop cleanly any more: it waited for the whole stop timeout and exited with code 6 (node-stop-forced).

BodySender.cancel did not tell its owner that the body had ended, so that the session counted the call until its link closed. It now does, as for a complete body.

Red before: body-flow.test.ts "open:, ... expected 1 to be +0"; large-answers.test.ts "expected 6 to be +0" (exit code).

--- a/src/link/__tests__/unit/body-flow.test.ts
+++ b/src/link/__tests__/unit/body-flow.test.ts
@@ -21,6 +21,8 @@
 const kib = 1024;
 /** Turns of the event loop without any progress after which a transfer counts as stalled. */
 const stallTurns = 400;
+/** Turns of the event loop within which the frames on their way arrive. */
+const maxSettleTurns = 200;
 /** Longest pause of a reader or a source, in turns of the event loop. */
 const maxPause = 12;
 const trials = 150;
@@ -334,6 +336,8 @@
 	readonly isStalled: boolean;
 	/** Most bytes of one body that were on their way or unread at once. */
 	readonly maxUnread: number;
+	/** Calls that a session still counts afterwards. */
+	readonly openCalls: number;
 }
 
 async function play(
@@ -380,7 +384,7 @@
 			body: createStreamBody(source),
 		};
 	});
-	const {wire} = session;
+	const {wire, near, far} = session;
 	const source = createSource({size: sizes[0]!, cutAt: cutOf(Cut.Source, 0)}, random, onProgress);
 	source.on('error', () => undefined);
 	let isAnswered = false;
@@ -422,8 +426,15 @@
 		idleTurns = progress + wire.progress === before ? idleTurns + 1 : 0;
 	}
 
+	// Frames that end the streams may still be on their way.
+	for (let i = 0; i < maxSettleTurns && near.callsInFlight + far.callsInFlight > 0; i += 1) {
+		wire.deliver();
+		await nextTurn();
+	}
+
+	const openCalls = near.callsInFlight + far.callsInFlight;
 	const text = `seed ${seed}, sizes ${sizes.join(' ')}, cut ${cut} of ${cutBody} at ${cutAt}`;
-	return {text, sizes, cut, trial: {request, answer, isStalled: !isDone(), maxUnread}};
+	return {text, sizes, cut, trial: {request, answer, isStalled: !isDone(), maxUnread, openCalls}};
 }
 
 describe('a streamed body', () => {
@@ -433,8 +444,9 @@
 		async (seed) => {
 			for (let i = 0; i < trials; i += 1) {
 				const {text, sizes, cut, trial} = await play(seed + i);
-				const {request, answer, isStalled, maxUnread} = trial;
+				const {request, answer, isStalled, maxUnread, openCalls} = trial;
 				expect(isStalled, `stalled: ${text}`).toBe(false);
+				expect(openCalls, `open: ${text}`).toBe(0);
 				expect(maxUnread, `unread: ${text}`).toBeLessThanOrEqual(windowBytes);
 				for (const [body, reading] of [request, answer].entries()) {
 					expect(reading?.isDamaged ?? false, `damaged: ${text}`).toBe(false);
--- a/src/link/body-sender.ts
+++ b/src/link/body-sender.ts
@@ -12,7 +12,7 @@
 	readonly trailers: HeaderList;
 	/** Bytes that may be sent before the first Credit frame. */
 	readonly initialCredit: number;
-	/** Called after the last frame of the body was sent. */
+	/** Called once, after the last frame of the body was sent or when it is canceled. */
 	finished(): void;
 }
 
@@ -61,8 +61,11 @@
 
 	/** Stops sending and destroys the source. */
 	cancel(): void {
-		this.isDone = true;
 		this.source.destroy();
+		if (!this.isDone) {
+			this.isDone = true;
+			this.finished();
+		}
 	}
 
 	private pump(): void {
--- a/tests/large-answers.test.ts
+++ b/tests/large-answers.test.ts
@@ -32,12 +32,13 @@
 				return false;
 			}
 
+			const isEndless = path.includes('endless');
 			const isOnce = headers['x-once'] !== undefined;
 			res.writeHead(200, {
 				'x-attempt-id': id,
 				'x-server-signature': 'signed',
 				'x-instance-id': executor.backend.identity.instance,
-				'content-length': answerBytes,
+				...(!isEndless && {'content-length': answerBytes}),
 			});
 			const write = async () => {
 				const size = answerBytes / (isOnce ? 1 : parts);
@@ -46,7 +47,9 @@
 					await sleep(isOnce ? 0 : 5);
 				}
 
-				res.end();
+				if (!isEndless) {
+					res.end();
+				}
 			};
 
 			void write();
@@ -107,4 +110,25 @@
 		expect(text.match(/^HTTP\/1\.1 \d+/gmv)).toEqual(['HTTP/1.1 200', 'HTTP/1.1 200']);
 		expect(text.length - text.lastIndexOf('\r\n\r\n') - 4).toBe(answerBytes);
 	});
+
+	// Guards against a stream that its session counts for good, so that the node never has nothing in flight.
+	it('keeps no node from a clean stop after its caller has left in the middle of it', async () => {
+		const abort = new AbortController();
+		const {backend} = executor;
+		const path = '/safe/large-endless';
+		const sent = mesh.send(ingress, {path, deadline: timeout, signal: abort.signal});
+		const isLost = sent.then(
+			() => false,
+			() => true,
+		);
+		await eventually(() => backend.seen.some((seen) => seen.path === path));
+		await sleep(100);
+		abort.abort();
+		expect(await isLost).toBe(true);
+		await eventually(() => backend.seen.some((seen) => seen.path === path && seen.isAbandoned));
+		expect(await mesh.endNode(executor, 'SIGTERM')).toBe(0);
+		const events = mesh.log(executor).map(({event}) => event);
+		expect(events).toContain('node-stopped');
+		expect(events).not.toContain('node-stop-forced');
+	});
 });
