Listen for the loss of a received body from its start

An answer whose head and loss arrive in one read of the link raised an error event before anyone listened, which ends the process. The ingress listens some microtasks after the head, and the event comes before them.

The receiver of a body listens itself from the start; readers find it to be errored, as the ingress checks before it writes the head.

Red before: body-flow.test.ts "Uncaught Exception BodyLostError: body truncated: backend-lost".

--- a/src/link/__tests__/unit/body-flow.test.ts
+++ b/src/link/__tests__/unit/body-flow.test.ts
@@ -5,6 +5,7 @@
 import {ManualClock} from '../../../clock/index.js';
 import {
 	AttemptEnd,
+	BodyLostError,
 	Cancellation,
 	createStreamBody,
 	createUnknown,
@@ -461,4 +462,26 @@
 			}
 		},
 	);
+
+	// Guards against an error event without a listener, which ends the process.
+	it('is cut without harm when its loss arrives together with its head', async () => {
+		const session = new PlaySession(createRandom(1), async () => new Promise(() => undefined));
+		const result = session.send(createStreamBody(Readable.from([])));
+		const stream = 0;
+		session.near.receive({
+			type: FrameType.Answer,
+			stream,
+			status: 200,
+			headers: [],
+			load: {inFlight: 0, queued: 0, slots: 1, serviceTime: 0, failureShare: 0, slowdown: 1},
+			body: undefined,
+			trailers: [],
+			isDelimited: true,
+		});
+		session.near.receive({type: FrameType.Failed, stream, reason: RefusalReason.BackendLost});
+		const answered = await result;
+		expect(answered.end === AttemptEnd.Answered && answered.body.stream?.errored).toBeInstanceOf(
+			BodyLostError,
+		);
+	});
 });
--- a/src/link/body-receiver.ts
+++ b/src/link/body-receiver.ts
@@ -26,6 +26,8 @@
 	) {
 		super({highWaterMark: windowBytes});
 		this.outstandingCredit = initialCredit;
+		// A body may be lost before anyone reads it, as frames can arrive together. Readers find it to be `errored`.
+		this.on('error', () => undefined);
 	}
 
 	/**
--- a/src/link/incoming-attempt.ts
+++ b/src/link/incoming-attempt.ts
@@ -39,8 +39,6 @@
 	) {
 		if (!frame.body) {
 			this.receiver = new BodyReceiver(link, frame.stream, 0);
-			// A truncated body is reported by the result of the attempt; the listener prevents an uncaught error.
-			this.receiver.on('error', () => undefined);
 		}
 	}
 
