Ingress: take no answer for complete that was lost with its connection

A caller's connection that was destroyed while it had not taken all of an answer counted as having taken it. The next request that waited on the connection, also an unsafe one, was then passed on and ran although its caller could get no answer any more, and no metric counted the answer that was cut.

Cause: three places told a cut answer from a complete one by writableFinished in a 'close' listener. Node.js detaches the response from its socket first, so that it is true of every answer that was ended; 'finish' is emitted for what was not sent as well (seen on 20.19.0 with destroy(), closeIdleConnections(), a reset and an end by the caller). Now an answer is taken if 'finish' comes while its socket is not destroyed, as the bytes were handed over then.

--- a/src/ingress/__tests__/unit/answer-watch.test.ts
+++ b/src/ingress/__tests__/unit/answer-watch.test.ts
@@ -61,7 +61,7 @@
 	it('counts a complete answer as in flight until its connection has taken it', async () => {
 		const res = open();
 		res.end('answer');
-		watch.leave(res);
+		watch.leave(res, {isTaken: false});
 		expect(watch.callCount).toBe(0);
 		expect(watch.inFlight).toBe(1);
 		const closed = new Promise((resolve) => {
@@ -77,7 +77,7 @@
 		const res = open();
 		open();
 		res.end('answer');
-		watch.leave(res);
+		watch.leave(res, {isTaken: false});
 		watch.reportRemaining();
 		expect(lines.map((line) => line.details.cut)).toEqual(['stop', 'stop']);
 		expect(await count(AnswerCut.Stop)).toBe(2);
--- a/src/ingress/__tests__/unit/ingress.test.ts
+++ b/src/ingress/__tests__/unit/ingress.test.ts
@@ -129,6 +129,7 @@
 
 describe('Ingress', () => {
 	let ingress: Ingress;
+	let metrics: Metrics;
 	let port = 0;
 	let calls: Map<string, {call: Call; end(end: CallEnd): void}>;
 	let started: string[];
@@ -155,9 +156,10 @@
 		calls = new Map();
 		started = [];
 		isAnswering = false;
+		metrics = new Metrics();
 		ingress = new Ingress({
 			clock: new SystemClock(),
-			metrics: new Metrics(),
+			metrics,
 			logger: silentLogger,
 			protocol,
 			keyedCalls: undefined,
@@ -243,6 +245,22 @@
 		await until(() => ingress.inFlight === 0);
 	});
 
+	// Guards against a request that runs after its connection was lost, and an answer that counts as sent though it was cut.
+	it('takes no answer for complete that was lost with its connection', async () => {
+		const caller = open();
+		caller.send('/safe/1', '/unsafe/2');
+		await until(() => started.length === 1);
+		caller.socket.pause();
+		finish('/safe/1', createBufferedBody(Buffer.alloc(32 * 1024 * 1024, 'x')));
+		await sleep();
+		caller.socket.resetAndDestroy();
+		await until(() => ingress.inFlight === 0);
+		await sleep();
+		expect(started).toEqual(['/safe/1']);
+		const {values} = await metrics.answersCut.get();
+		expect(values.map(({labels, value}) => [labels.cut, value])).toEqual([['caller', 1]]);
+	});
+
 	it('runs no unsafe request behind an answer that closes the connection', async () => {
 		const caller = open();
 		caller.send('/safe/1', '/unsafe/2');
--- a/src/ingress/answer-watch.ts
+++ b/src/ingress/answer-watch.ts
@@ -15,6 +15,12 @@
 	isReported: boolean;
 };
 
+/** How far an answer has come on its connection. */
+export interface AnswerDelivery {
+	/** Whether the connection has taken all of it. */
+	readonly isTaken: boolean;
+}
+
 /** Collaborators of {@link AnswerWatch}. */
 export interface AnswerWatchDependencies {
 	readonly clock: Clock;
@@ -76,15 +82,16 @@
 	 * Called when the answer was handed to its connection. A caller may take it slowly; a node that stops must not
 	 * leave before.
 	 * @param res - the response.
+	 * @param delivery - tells whether the connection has taken the answer completely.
 	 */
-	leave(res: ServerResponse): void {
+	leave(res: ServerResponse, delivery: AnswerDelivery): void {
 		const answer = this.calls.get(res);
 		this.calls.delete(res);
-		if (answer && res.writableEnded && !res.writableFinished && !res.destroyed) {
+		if (answer && res.writableEnded && !delivery.isTaken && !res.destroyed) {
 			this.unsent.set(res, answer);
 			res.once('close', () => {
 				this.unsent.delete(res);
-				if (!res.writableFinished) {
+				if (!delivery.isTaken) {
 					this.report(res, answer, AnswerCut.Caller);
 				}
 			});
--- a/src/ingress/caller-connection.ts
+++ b/src/ingress/caller-connection.ts
@@ -34,6 +34,7 @@
 	private forwarding: Deferred<Error | undefined> | undefined;
 	private answerTurn: Deferred<void> | undefined;
 	private isLost = false;
+	private isAnswerTaken = false;
 	private readonly lossListeners: Array<() => void> = [];
 
 	constructor(
@@ -41,7 +42,18 @@
 		readonly request: PipelinedRequest,
 		readonly req: IncomingMessage,
 		readonly res: ServerResponse,
-	) {}
+	) {
+		const {socket} = req;
+		// When a connection is destroyed, `finish` is emitted and `writableFinished` is set for what it has not sent as well.
+		res.once('finish', () => {
+			this.isAnswerTaken = !socket.destroyed;
+		});
+	}
+
+	/** Whether the connection has taken the answer completely. */
+	get isTaken(): boolean {
+		return this.isAnswerTaken;
+	}
 
 	/** Whether all earlier answers are complete. */
 	get isNext(): boolean {
@@ -349,8 +361,8 @@
 		socket.once('close', undo);
 	}
 
-	private handleClosed({request, res}: CallerTurn): void {
-		if (!res.writableFinished) {
+	private handleClosed({request, isTaken}: CallerTurn): void {
+		if (!isTaken) {
 			// The connection was lost; its own event ends all its requests.
 			return;
 		}
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -220,7 +220,7 @@
 		} catch (err) {
 			outcome = await this.answerError(err, turn);
 		} finally {
-			this.answers.leave(res);
+			this.answers.leave(res, turn);
 			this.customers.leave(res, outcome);
 			const {metrics, clock} = this.deps;
 			metrics.inFlight.set(this.answers.callCount);
@@ -555,7 +555,7 @@
 			resolve(Outcome.Unknown);
 		});
 		res.once('close', () => {
-			if (!res.writableFinished) {
+			if (!turn.isTaken) {
 				this.answers.reportCut(res, AnswerCut.Caller);
 				stream?.destroy();
 				resolve(Outcome.Unknown);
