Stop: take no request after the last check for requests in flight

A caller whose connection was opened before the stop, and had sent nothing or a part of a head, got no answer to a request that it sent in the 0.2 s before the exit, while the request ran at another node.

Cause: a stopping node refuses requests that end after its stop timeout, but leaves as soon as nothing is in flight. Connections on which nothing was read, or a part of a head, are not idle for Node.js and stay open when the ingress closes; what they sent after the last check was taken, passed on and cut.

Once its backend server's runs have ended, the ingress now refuses all that has not been passed on (503, not run). At the end, the node closes the remaining connections without reading further requests, and waits until the refusals have been taken, at the latest until the end of the stop timeout.

--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -102,7 +102,10 @@
 }
 
 /** Waits until something holds; fails after a limit that only ends a test that hangs. */
-export async function eventually(check: () => boolean | Promise<boolean>): Promise<void> {
+export async function eventually(
+	check: () => boolean | Promise<boolean>,
+	period = 20,
+): Promise<void> {
 	const until = performance.now() + waitLimit;
 	while (!(await check())) {
 		if (performance.now() > until) {
@@ -110,7 +113,7 @@
 		}
 
 		await new Promise((resolve) => {
-			setTimeout(resolve, 20);
+			setTimeout(resolve, period);
 		});
 	}
 }
--- a/src/ingress/caller-connection.ts
+++ b/src/ingress/caller-connection.ts
@@ -193,7 +193,7 @@
 	private isReadPaused = false;
 	/** Whether the listener that keeps the connection paused is registered. */
 	private isPauseKept = false;
-	private isLingering = false;
+	private isClosing = false;
 	/** The request whose answer closes the connection. */
 	private lastRequest: IncomingMessage | undefined;
 
@@ -234,7 +234,13 @@
 
 	/** Whether all answers are written and what the caller still sends is dropped. */
 	get isDroppingInput(): boolean {
-		return this.isLingering;
+		return this.isClosing;
+	}
+
+	/** Closes the connection once all its requests are answered; what the caller still sends is not read as requests. */
+	closeBehindLast(): void {
+		this.pipeline.endInput();
+		this.closeIfIdle();
 	}
 
 	/** Number of requests that have not been answered completely. */
@@ -350,7 +356,7 @@
 	private closeGracefully(): void {
 		const {socket, deps} = this;
 		this.isReadPaused = false;
-		this.isLingering = true;
+		this.isClosing = true;
 		socket.end();
 		this.lastRequest?.unpipe();
 		this.lastRequest?.resume();
@@ -361,6 +367,13 @@
 		socket.once('close', undo);
 	}
 
+	private closeIfIdle(): void {
+		if (!this.isClosing && this.unanswered === 0) {
+			this.pipeline.endInput();
+			this.closeGracefully();
+		}
+	}
+
 	private handleClosed({request, isTaken}: CallerTurn): void {
 		if (!isTaken) {
 			// The connection was lost; its own event ends all its requests.
@@ -428,7 +441,7 @@
 	// A connection with many unanswered requests is not read further, so that the requests of one caller take a
 	// bounded amount of memory: those of one read beyond the limit.
 	private updateReading(): void {
-		const isFull = this.pipeline.isFull && !this.isLingering;
+		const isFull = this.pipeline.isFull && !this.isClosing;
 		if (isFull && !this.isReadPaused) {
 			this.isReadPaused = true;
 			this.keepPaused();
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -105,12 +105,14 @@
 	readonly customers: CustomerUsage;
 	private readonly server: Server;
 	private readonly answers: AnswerWatch;
-	private readonly connections = new WeakMap<Duplex, CallerConnection>();
+	private readonly connections = new Map<Duplex, CallerConnection>();
 	private readonly newest: NewestConfiguration;
 	/** Requests whose callers wait to be told that their bodies are read. */
 	private readonly awaitingContinue = new WeakSet<IncomingMessage>();
 	private readonly bodyMemory: BodyMemory;
 	private isDraining = false;
+	/** Whether requests that are not passed on yet are refused. */
+	private isClosed = false;
 	/** Time by which the calls that are accepted must end; undefined while the node is not about to leave. */
 	private leavesAt: Millis | undefined;
 
@@ -141,6 +143,9 @@
 			this.awaitingContinue.add(req);
 			void this.handle(req, res);
 		});
+		this.server.on('connection', (socket: Socket) => {
+			this.connectionOf(socket);
+		});
 		this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Duplex) => {
 			this.handleParseFailure(err, socket);
 		});
@@ -191,12 +196,23 @@
 		Object.assign(this.server, {maxHeaderSize: Math.max(defaultMaxHeaderBytes, bytes)});
 	}
 
-	/** Stops accepting connections and closes idle ones. */
+	/**
+	 * Stops accepting connections, closes idle ones, and refuses each request that has not been passed on. Connections on
+	 * which nothing was read, or the part of a head, are not idle.
+	 */
 	close(): void {
+		this.isClosed = true;
 		this.server.close();
 		this.server.closeIdleConnections();
 	}
 
+	/** Closes the remaining connections behind their last answers; what they still send is not read as requests. */
+	closeConnections(): void {
+		for (const connection of this.connections.values()) {
+			connection.closeBehindLast();
+		}
+	}
+
 	/**
 	 * Reports the requests that are cut because the process ends.
 	 * @returns their number.
@@ -249,10 +265,14 @@
 			},
 		});
 		this.connections.set(socket, connection);
+		socket.once('close', () => {
+			this.connections.delete(socket);
+		});
 		return connection;
 	}
 
 	private async answer(req: IncomingMessage, turn: CallerTurn): Promise<Outcome> {
+		this.requireOpen();
 		if (this.answers.callCount > maxInFlight) {
 			throw new RefusedRequestError(RefusalReason.TooManyCalls);
 		}
@@ -289,6 +309,12 @@
 		return index;
 	}
 
+	private requireOpen(): void {
+		if (this.isClosed) {
+			throw new RefusedRequestError(RefusalReason.Draining);
+		}
+	}
+
 	private async receiveAdmitted(upload: UploadBody, call: Call): Promise<CallEnd | undefined> {
 		try {
 			return await this.receive(upload, call);
@@ -372,6 +398,7 @@
 			}
 		}
 
+		this.requireOpen();
 		if (this.leavesAt !== undefined && deadline.at > this.leavesAt) {
 			throw new RefusedRequestError(RefusalReason.Draining);
 		}
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -292,6 +292,9 @@
 		gossip.updateLocalMember({phase: MemberPhase.Left});
 		gossip.flush();
 		await pause(clock, leaveNoticeTime);
+		// Requests that were read meanwhile were refused; their callers must get this.
+		this.ingress.closeConnections();
+		await this.core.waitUntilIdle(() => this.ingress.inFlight, until + leaveNoticeTime);
 		const cut = this.ingress.reportRemaining();
 		this.closeAll();
 		lifecycle.send({type: NodeEvent.Finished});
--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -159,9 +159,10 @@
 		this.ingress.drain();
 		await pause(this.clock, lingerTime);
 		this.ingress.close();
+		const until = this.clock.now() + this.settings.stopTimeout;
 		const isClean = await this.core.waitUntilIdle(
 			() => this.ingress.inFlight + executor.callCount + hub.callsInFlight,
-			this.clock.now() + this.settings.stopTimeout,
+			until,
 		);
 		if (this.keyedCalls.size > 0) {
 			await this.keyOwners.handOver(this.keyedCalls.exportRecords());
@@ -170,6 +171,9 @@
 		gossip.updateLocalMember({phase: MemberPhase.Left});
 		gossip.flush();
 		await pause(this.clock, leaveNoticeTime);
+		// Requests that were read meanwhile were refused; their callers must get this.
+		this.ingress.closeConnections();
+		await this.core.waitUntilIdle(() => this.ingress.inFlight, until + leaveNoticeTime);
 		const cut = this.ingress.reportRemaining();
 		this.closeAll();
 		lifecycle.send({type: NodeEvent.Finished});
