Stop: destroy no connection that has not taken its answers

Cause: close() of the HTTP server and closeIdleConnections() destroy each connection whose last answer was handed over, also when it has not been sent, and whatever runs behind it. Now only the listening socket is closed. A connection without open requests is closed as behind a last answer: its sending side first, and what the caller still sends is read and dropped, as a close with unread bytes resets it.

--- a/src/ingress/caller-connection.ts
+++ b/src/ingress/caller-connection.ts
@@ -194,6 +194,8 @@
 	/** Whether the listener that keeps the connection paused is registered. */
 	private isPauseKept = false;
 	private isClosing = false;
+	/** Whether the connection closes behind an answer that its caller may not have received. */
+	private hasLastAnswer = false;
 	/** The request whose answer closes the connection. */
 	private lastRequest: IncomingMessage | undefined;
 
@@ -207,7 +209,7 @@
 		});
 		// The HTTP server calls this behind an answer that closes the connection.
 		socket.destroySoon = () => {
-			this.closeGracefully();
+			this.closeBehindAnswer();
 		};
 	}
 
@@ -237,6 +239,18 @@
 		return this.isClosing;
 	}
 
+	/** Whether the connection closes behind an answer that its caller may not have received. */
+	get isLingering(): boolean {
+		return this.hasLastAnswer;
+	}
+
+	/** Closes the connection if it has had requests and all of them are answered. */
+	closeIfUsed(): void {
+		if (this.requests > 0) {
+			this.closeIfIdle();
+		}
+	}
+
 	/** Closes the connection once all its requests are answered; what the caller still sends is not read as requests. */
 	closeBehindLast(): void {
 		this.pipeline.endInput();
@@ -367,6 +381,11 @@
 		socket.once('close', undo);
 	}
 
+	private closeBehindAnswer(): void {
+		this.hasLastAnswer = true;
+		this.closeGracefully();
+	}
+
 	private closeIfIdle(): void {
 		if (!this.isClosing && this.unanswered === 0) {
 			this.pipeline.endInput();
@@ -383,7 +402,7 @@
 		this.turns.delete(request);
 		this.pipeline.complete(request);
 		if (this.pipeline.isExhausted) {
-			this.closeGracefully();
+			this.closeBehindAnswer();
 		}
 
 		this.update();
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -5,7 +5,7 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import {Socket} from 'node:net';
+import {Server as NetServer, Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {KeyedCalls} from '../claims/index.js';
 import {
@@ -156,6 +156,12 @@
 		return this.answers.inFlight;
 	}
 
+	/** Number of requests in flight and of connections whose callers may not have received the last answer. */
+	get pendingCount(): number {
+		const connections = [...this.connections.values()];
+		return this.inFlight + connections.filter(({isLingering}) => isLingering).length;
+	}
+
 	/**
 	 * @param address - IP address.
 	 * @param port - TCP port.
@@ -202,8 +208,11 @@
 	 */
 	close(): void {
 		this.isClosed = true;
-		this.server.close();
-		this.server.closeIdleConnections();
+		// The HTTP server would destroy each connection whose last answer is written, also when it has not taken all of it.
+		NetServer.prototype.close.call(this.server);
+		for (const connection of this.connections.values()) {
+			connection.closeIfUsed();
+		}
 	}
 
 	/** Closes the remaining connections behind their last answers; what they still send is not read as requests. */
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -286,7 +286,7 @@
 		await this.core.waitUntilIdle(() => executor.callCount, until);
 		this.ingress.close();
 		const isClean = await this.core.waitUntilIdle(
-			() => this.ingress.inFlight + executor.callCount + hub.callsInFlight,
+			() => this.ingress.pendingCount + executor.callCount + hub.callsInFlight,
 			until,
 		);
 		gossip.updateLocalMember({phase: MemberPhase.Left});
@@ -294,7 +294,7 @@
 		await pause(clock, leaveNoticeTime);
 		// Requests that were read meanwhile were refused; their callers must get this.
 		this.ingress.closeConnections();
-		await this.core.waitUntilIdle(() => this.ingress.inFlight, until + leaveNoticeTime);
+		await this.core.waitUntilIdle(() => this.ingress.pendingCount, until + leaveNoticeTime);
 		const cut = this.ingress.reportRemaining();
 		this.closeAll();
 		lifecycle.send({type: NodeEvent.Finished});
--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -161,7 +161,7 @@
 		this.ingress.close();
 		const until = this.clock.now() + this.settings.stopTimeout;
 		const isClean = await this.core.waitUntilIdle(
-			() => this.ingress.inFlight + executor.callCount + hub.callsInFlight,
+			() => this.ingress.pendingCount + executor.callCount + hub.callsInFlight,
 			until,
 		);
 		if (this.keyedCalls.size > 0) {
@@ -173,7 +173,7 @@
 		await pause(this.clock, leaveNoticeTime);
 		// Requests that were read meanwhile were refused; their callers must get this.
 		this.ingress.closeConnections();
-		await this.core.waitUntilIdle(() => this.ingress.inFlight, until + leaveNoticeTime);
+		await this.core.waitUntilIdle(() => this.ingress.pendingCount, until + leaveNoticeTime);
 		const cut = this.ingress.reportRemaining();
 		this.closeAll();
 		lifecycle.send({type: NodeEvent.Finished});
--- a/tests/cut-around-stop.test.ts
+++ b/tests/cut-around-stop.test.ts
@@ -131,4 +131,32 @@
 			expect(findCut(callers, ran())).toEqual([]);
 		},
 	);
+
+	// Guards against a connection that is destroyed as its answer was handed over, while it has not taken all of it.
+	it('cuts no answer that a slow caller has not taken when the ingress closes', async () => {
+		await restart();
+		const caller = await open();
+		caller.pause();
+		const count = 150;
+		for (let i = 0; i < count; i += 1) {
+			caller.send(rawHead('GET', `/large/${i}`, `large-${i}`));
+		}
+
+		let last = -1;
+		await eventually(async () => {
+			const before = last;
+			last = other.backend.seen.length;
+			await sleep(300);
+			return last > 0 && last === before;
+		});
+		expect(other.backend.seen.length).toBeLessThan(count);
+		const termAt = performance.now();
+		const ended = mesh.endNode(stopping, 'SIGTERM');
+		await sleep(termAt + 3500 - performance.now());
+		caller.resume();
+		expect(await ended).toBe(0);
+		expect(performance.now() - termAt).toBeLessThan(stopTimeout);
+		await caller.closed;
+		expect(findCut(callers, ran())).toEqual([]);
+	});
 });
