--- a/src/ingress/caller-connection.ts
+++ b/src/ingress/caller-connection.ts
@@ -34,6 +34,7 @@
 	private forwarding: Deferred<Error | undefined> | undefined;
 	private answerTurn: Deferred<void> | undefined;
 	private isLost = false;
+	private isAnswerTaken = false;
 	private readonly lossListeners: Array<() => void> = [];
 
 	constructor(
@@ -41,7 +42,18 @@
 		readonly request: PipelinedRequest,
 		readonly req: IncomingMessage,
 		readonly res: ServerResponse,
-	) {}
+	) {
+		const {socket} = req;
+		// When a connection is destroyed, `finish` is emitted and `writableFinished` is set for what it has not sent as well.
+		res.once('finish', () => {
+			this.isAnswerTaken = !socket.destroyed;
+		});
+	}
+
+	/** Whether the connection has taken the answer completely. */
+	get isTaken(): boolean {
+		return this.isAnswerTaken;
+	}
 
 	/** Whether all earlier answers are complete. */
 	get isNext(): boolean {
@@ -181,7 +193,9 @@
 	private isReadPaused = false;
 	/** Whether the listener that keeps the connection paused is registered. */
 	private isPauseKept = false;
-	private isLingering = false;
+	private isClosing = false;
+	/** Whether the connection closes behind an answer that its caller may not have received. */
+	private hasLastAnswer = false;
 	/** The request whose answer closes the connection. */
 	private lastRequest: IncomingMessage | undefined;
 
@@ -195,7 +209,7 @@
 		});
 		// The HTTP server calls this behind an answer that closes the connection.
 		socket.destroySoon = () => {
-			this.closeGracefully();
+			this.closeBehindAnswer();
 		};
 	}
 
@@ -222,7 +236,25 @@
 
 	/** Whether all answers are written and what the caller still sends is dropped. */
 	get isDroppingInput(): boolean {
-		return this.isLingering;
+		return this.isClosing;
+	}
+
+	/** Whether the connection closes behind an answer that its caller may not have received. */
+	get isLingering(): boolean {
+		return this.hasLastAnswer;
+	}
+
+	/** Closes the connection if it has had requests and all of them are answered. */
+	closeIfUsed(): void {
+		if (this.requests > 0) {
+			this.closeIfIdle();
+		}
+	}
+
+	/** Closes the connection once all its requests are answered; what the caller still sends is not read as requests. */
+	closeBehindLast(): void {
+		this.pipeline.endInput();
+		this.closeIfIdle();
 	}
 
 	/** Number of requests that have not been answered completely. */
@@ -338,7 +370,7 @@
 	private closeGracefully(): void {
 		const {socket, deps} = this;
 		this.isReadPaused = false;
-		this.isLingering = true;
+		this.isClosing = true;
 		socket.end();
 		this.lastRequest?.unpipe();
 		this.lastRequest?.resume();
@@ -349,8 +381,20 @@
 		socket.once('close', undo);
 	}
 
-	private handleClosed({request, res}: CallerTurn): void {
-		if (!res.writableFinished) {
+	private closeBehindAnswer(): void {
+		this.hasLastAnswer = true;
+		this.closeGracefully();
+	}
+
+	private closeIfIdle(): void {
+		if (!this.isClosing && this.unanswered === 0) {
+			this.pipeline.endInput();
+			this.closeGracefully();
+		}
+	}
+
+	private handleClosed({request, isTaken}: CallerTurn): void {
+		if (!isTaken) {
 			// The connection was lost; its own event ends all its requests.
 			return;
 		}
@@ -358,7 +402,7 @@
 		this.turns.delete(request);
 		this.pipeline.complete(request);
 		if (this.pipeline.isExhausted) {
-			this.closeGracefully();
+			this.closeBehindAnswer();
 		}
 
 		this.update();
@@ -416,7 +460,7 @@
 	// A connection with many unanswered requests is not read further, so that the requests of one caller take a
 	// bounded amount of memory: those of one read beyond the limit.
 	private updateReading(): void {
-		const isFull = this.pipeline.isFull && !this.isLingering;
+		const isFull = this.pipeline.isFull && !this.isClosing;
 		if (isFull && !this.isReadPaused) {
 			this.isReadPaused = true;
 			this.keepPaused();
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -5,7 +5,7 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import {Socket} from 'node:net';
+import {Server as NetServer, Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {KeyedCalls} from '../claims/index.js';
 import {
@@ -105,12 +105,14 @@
 	readonly customers: CustomerUsage;
 	private readonly server: Server;
 	private readonly answers: AnswerWatch;
-	private readonly connections = new WeakMap<Duplex, CallerConnection>();
+	private readonly connections = new Map<Duplex, CallerConnection>();
 	private readonly newest: NewestConfiguration;
 	/** Requests whose callers wait to be told that their bodies are read. */
 	private readonly awaitingContinue = new WeakSet<IncomingMessage>();
 	private readonly bodyMemory: BodyMemory;
 	private isDraining = false;
+	/** Whether requests that are not passed on yet are refused. */
+	private isClosed = false;
 	/** Time by which the calls that are accepted must end; undefined while the node is not about to leave. */
 	private leavesAt: Millis | undefined;
 
@@ -141,6 +143,9 @@
 			this.awaitingContinue.add(req);
 			void this.handle(req, res);
 		});
+		this.server.on('connection', (socket: Socket) => {
+			this.connectionOf(socket);
+		});
 		this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Duplex) => {
 			this.handleParseFailure(err, socket);
 		});
@@ -151,6 +156,12 @@
 		return this.answers.inFlight;
 	}
 
+	/** Number of requests in flight and of connections whose callers may not have received the last answer. */
+	get pendingCount(): number {
+		const connections = [...this.connections.values()];
+		return this.inFlight + connections.filter(({isLingering}) => isLingering).length;
+	}
+
 	/**
 	 * @param address - IP address.
 	 * @param port - TCP port.
@@ -191,10 +202,24 @@
 		Object.assign(this.server, {maxHeaderSize: Math.max(defaultMaxHeaderBytes, bytes)});
 	}
 
-	/** Stops accepting connections and closes idle ones. */
+	/**
+	 * Stops accepting connections, closes idle ones, and refuses each request that has not been passed on. Connections on
+	 * which nothing was read, or the part of a head, are not idle.
+	 */
 	close(): void {
-		this.server.close();
-		this.server.closeIdleConnections();
+		this.isClosed = true;
+		// The HTTP server would destroy each connection whose last answer is written, also when it has not taken all of it.
+		NetServer.prototype.close.call(this.server);
+		for (const connection of this.connections.values()) {
+			connection.closeIfUsed();
+		}
+	}
+
+	/** Closes the remaining connections behind their last answers; what they still send is not read as requests. */
+	closeConnections(): void {
+		for (const connection of this.connections.values()) {
+			connection.closeBehindLast();
+		}
 	}
 
 	/**
@@ -220,7 +245,7 @@
 		} catch (err) {
 			outcome = await this.answerError(err, turn);
 		} finally {
-			this.answers.leave(res);
+			this.answers.leave(res, turn);
 			this.customers.leave(res, outcome);
 			const {metrics, clock} = this.deps;
 			metrics.inFlight.set(this.answers.callCount);
@@ -249,10 +274,14 @@
 			},
 		});
 		this.connections.set(socket, connection);
+		socket.once('close', () => {
+			this.connections.delete(socket);
+		});
 		return connection;
 	}
 
 	private async answer(req: IncomingMessage, turn: CallerTurn): Promise<Outcome> {
+		this.requireOpen();
 		if (this.answers.callCount > maxInFlight) {
 			throw new RefusedRequestError(RefusalReason.TooManyCalls);
 		}
@@ -289,6 +318,12 @@
 		return index;
 	}
 
+	private requireOpen(): void {
+		if (this.isClosed) {
+			throw new RefusedRequestError(RefusalReason.Draining);
+		}
+	}
+
 	private async receiveAdmitted(upload: UploadBody, call: Call): Promise<CallEnd | undefined> {
 		try {
 			return await this.receive(upload, call);
@@ -372,6 +407,7 @@
 			}
 		}
 
+		this.requireOpen();
 		if (this.leavesAt !== undefined && deadline.at > this.leavesAt) {
 			throw new RefusedRequestError(RefusalReason.Draining);
 		}
@@ -555,7 +591,7 @@
 			resolve(Outcome.Unknown);
 		});
 		res.once('close', () => {
-			if (!res.writableFinished) {
+			if (!turn.isTaken) {
 				this.answers.reportCut(res, AnswerCut.Caller);
 				stream?.destroy();
 				resolve(Outcome.Unknown);
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -286,12 +286,15 @@
 		await this.core.waitUntilIdle(() => executor.callCount, until);
 		this.ingress.close();
 		const isClean = await this.core.waitUntilIdle(
-			() => this.ingress.inFlight + executor.callCount + hub.callsInFlight,
+			() => this.ingress.pendingCount + executor.callCount + hub.callsInFlight,
 			until,
 		);
 		gossip.updateLocalMember({phase: MemberPhase.Left});
 		gossip.flush();
 		await pause(clock, leaveNoticeTime);
+		// Requests that were read meanwhile were refused; their callers must get this.
+		this.ingress.closeConnections();
+		await this.core.waitUntilIdle(() => this.ingress.pendingCount, until + leaveNoticeTime);
 		const cut = this.ingress.reportRemaining();
 		this.closeAll();
 		lifecycle.send({type: NodeEvent.Finished});
