End an answer that begins after its receiver has left

A link that was lost, or a Cancel frame, ended an attempt only if its answer had begun. One above 64 KiB that began later waited for credit that nobody could grant: it held a slot of the backend server until a second past its deadline, and a stop that waited for it was forced.

The attempt now remembers that nobody waits for its answer, and ends it when it begins.

--- a/src/link/incoming-attempt.ts
+++ b/src/link/incoming-attempt.ts
@@ -31,6 +31,8 @@
 	private readonly cancellation = new Cancellation();
 	private readonly receiver: BodyReceiver | undefined;
 	private sender: BodySender | undefined;
+	/** Whether nobody waits for the answer any more. */
+	private isAbandoned = false;
 
 	constructor(
 		private readonly link: Link,
@@ -119,17 +121,22 @@
 	 */
 	handlePeerLost(): void {
 		this.receiver?.fail(RefusalReason.ExecutorLost);
-		this.sender?.cancel();
+		this.abandonAnswer();
 		if (this.frame.isIdempotent) {
 			this.cancellation.cancel();
 		}
 	}
 
 	private cancel(): void {
-		this.sender?.cancel();
+		this.abandonAnswer();
 		this.cancellation.cancel();
 	}
 
+	private abandonAnswer(): void {
+		this.isAbandoned = true;
+		this.sender?.cancel();
+	}
+
 	private body(): Body {
 		if (this.receiver) {
 			return createStreamBody(this.receiver, this.receiver.trailers);
@@ -166,6 +173,13 @@
 		const load = result.load ?? emptyLoad;
 		const {stream} = this.frame;
 		const {bytes, trailers, isDelimited} = body;
+		if (this.isAbandoned) {
+			// No credit would ever arrive for the body.
+			body.stream?.destroy();
+			this.ended();
+			return;
+		}
+
 		this.link.send({
 			type: FrameType.Answer,
 			stream,
