Tell the peer when a body has closed before it is sent

A body that was lost before its sender started left the peer waiting for it until the deadline: the sender listens for the close of its source, and a source that has closed already reports nothing any more.

The sender asks the source once it listens.

Red before: body-flow.test.ts "is visibly cut when its source has closed before it is sent", isCut false.

--- a/src/link/__tests__/unit/body-flow.test.ts
+++ b/src/link/__tests__/unit/body-flow.test.ts
@@ -14,6 +14,7 @@
 	type Body,
 } from '../../../exchange/index.js';
 import {createRandom, type Random} from '../../../random/index.js';
+import {withResolvers} from '../../../util/index.js';
 import {OpenTarget, PeerSession} from '../../index.js';
 import {FrameType, type Frame} from '../../frame.js';
 import type {Link} from '../../link.js';
@@ -463,9 +464,60 @@
 		},
 	);
 
+	// Guards against waiting for the end of a source that ended before anyone listened.
+	it('is visibly cut when its source has closed before it is sent', async () => {
+		const createClosed = async () => {
+			const source = new Readable({read: () => undefined});
+			source.on('error', () => undefined);
+			source.destroy(new Error('cut'));
+			await pause(2);
+			return createStreamBody(source);
+		};
+
+		const random = createRandom(1);
+		const closedAnswer = await createClosed();
+		let request: Reading | undefined;
+		const session = new PlaySession(random, async (attempt) => {
+			request = startReader(
+				attempt.body.stream!,
+				random,
+				Number.POSITIVE_INFINITY,
+				() => undefined,
+			);
+			await new Promise((resolve) => {
+				attempt.body.stream!.once('close', resolve);
+			});
+			return {
+				end: AttemptEnd.Answered,
+				status: 200,
+				headers: [],
+				load: undefined,
+				body: closedAnswer,
+			};
+		});
+		let answer: Reading | undefined;
+		void session.send(await createClosed()).then((result) => {
+			if (result.end === AttemptEnd.Answered) {
+				const {stream} = result.body;
+				answer = startReader(stream!, random, Number.POSITIVE_INFINITY, () => undefined);
+			}
+		});
+		for (let i = 0; i < maxSettleTurns; i += 1) {
+			session.wire.deliver();
+			await nextTurn();
+		}
+
+		expect(request).toMatchObject({isCut: true, isWhole: false});
+		expect(answer).toMatchObject({isCut: true, isWhole: false});
+		expect(session.near.callsInFlight + session.far.callsInFlight).toBe(0);
+	});
+
 	// Guards against an error event without a listener, which ends the process.
 	it('is cut without harm when its loss arrives together with its head', async () => {
-		const session = new PlaySession(createRandom(1), async () => new Promise(() => undefined));
+		const session = new PlaySession(
+			createRandom(1),
+			async () => withResolvers<AttemptResult>().promise,
+		);
 		const result = session.send(createStreamBody(Readable.from([])));
 		const stream = 0;
 		session.near.receive({
--- a/src/link/body-sender.ts
+++ b/src/link/body-sender.ts
@@ -49,6 +49,10 @@
 		source.once('close', () => {
 			this.fail();
 		});
+		// A source that has closed before reports nothing any more.
+		if (source.closed) {
+			this.fail();
+		}
 	}
 
 	/**
