End a call whose body was lost while it waited for a slot

A backend server got the head of such a request and waited for a body without end, on one of its slots, until the executor ended the attempt past its deadline. The copy of the body listens for the close of its source, which had come before.

The copy asks its source once it listens.

--- a/src/executor/backend-client.ts
+++ b/src/executor/backend-client.ts
@@ -36,15 +36,24 @@
 function copyStream(stream: Readable): Readable {
 	// The undici library destroys the body of an aborted request; the caller's socket must stay open.
 	const copy = new PassThrough({highWaterMark: maxInlineBodyBytes});
-	stream.pipe(copy);
-	stream.once('error', (err) => {
-		copy.destroy(err);
-	});
-	stream.once('close', () => {
+	// The library listens once the request is at a connection.
+	copy.on('error', () => undefined);
+	const handleClose = () => {
 		if (!stream.readableEnded) {
 			copy.destroy(new AbortedError('request body truncated: the caller closed the connection'));
 		}
+	};
+
+	stream.pipe(copy);
+	stream.once('error', (err) => {
+		copy.destroy(err);
 	});
+	stream.once('close', handleClose);
+	// A body that was lost while its call waited for a slot reports nothing any more.
+	if (stream.closed) {
+		handleClose();
+	}
+
 	return copy;
 }
 
