Stop: pass no request on whose answer would come after the exit

A request whose head was read before the ingress refused what lasts longer than the node, and whose body arrived after it, was passed on, ran at another node, and was cut at the exit.

Cause: the time limit was compared with the end of the stop timeout only before the body is read. It is compared again when the call starts; a request that is refused then has not run.

--- a/scaffold/mesh/raw-caller.ts
+++ b/scaffold/mesh/raw-caller.ts
@@ -90,9 +90,17 @@
 	}
 }
 
-/** @returns the head of a request with an attempt id. */
-export function rawHead(method: string, path: string, id: string, length = 0): string {
+/**
+ * @param options - length of the body in bytes, and time limit of the request in ms.
+ * @returns the head of a request with an attempt id.
+ */
+export function rawHead(
+	method: string,
+	path: string,
+	id: string,
+	{length = 0, deadline = 2000} = {},
+): string {
 	const lines = [`${method} ${path} HTTP/1.1`, 'Host: a.example', `X-Attempt-Id: ${id}`];
 	const body = length > 0 || method === 'POST' ? [`Content-Length: ${length}`] : [];
-	return [...lines, 'X-Request-Deadline: 2000', ...body, '', ''].join('\r\n');
+	return [...lines, `X-Request-Deadline: ${deadline}`, ...body, '', ''].join('\r\n');
 }
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -22,6 +22,7 @@
 	AttemptEnd,
 	BodyLostError,
 	Cancellation,
+	createRefused,
 	maxInlineBodyBytes,
 	type AnsweredAttempt,
 	type Body,
@@ -318,6 +319,10 @@
 		return index;
 	}
 
+	private mayOutlast({at}: Deadline): boolean {
+		return this.leavesAt !== undefined && at > this.leavesAt;
+	}
+
 	private requireOpen(): void {
 		if (this.isClosed) {
 			throw new RefusedRequestError(RefusalReason.Draining);
@@ -357,6 +362,12 @@
 	}
 
 	private async run(call: Call): Promise<CallEnd> {
+		// The node may have begun to leave while the body arrived.
+		if (this.mayOutlast(call.deadline)) {
+			const result = createRefused(RefusalReason.Draining);
+			return {result, attempts: 0, executor: undefined};
+		}
+
 		const {key} = call.head;
 		const {keyedCalls} = this.deps;
 		if (!keyedCalls || key === undefined || call.head.isIdempotent) {
@@ -408,7 +419,7 @@
 		}
 
 		this.requireOpen();
-		if (this.leavesAt !== undefined && deadline.at > this.leavesAt) {
+		if (this.mayOutlast(deadline)) {
 			throw new RefusedRequestError(RefusalReason.Draining);
 		}
 
--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -158,8 +158,9 @@
 		gossip.flush();
 		this.ingress.drain();
 		await pause(this.clock, lingerTime);
-		this.ingress.close();
 		const until = this.clock.now() + this.settings.stopTimeout;
+		this.ingress.refuseBeyond(until);
+		this.ingress.close();
 		const isClean = await this.core.waitUntilIdle(
 			() => this.ingress.pendingCount + executor.callCount + hub.callsInFlight,
 			until,
--- a/tests/cut-around-stop.test.ts
+++ b/tests/cut-around-stop.test.ts
@@ -5,7 +5,7 @@
 import {rawHead, RawCaller} from '../scaffold/mesh/raw-caller.js';
 
 const routes: MeshRoute[] = [
-	{host: 'a.example', prefix: '/own/', kind: 'unsafe', service: 'alpha', timeout_ms: 2000},
+	{host: 'a.example', prefix: '/patient/', kind: 'unsafe', service: 'beta', timeout_ms: 10_000},
 	{host: 'a.example', prefix: '/far/', kind: 'unsafe', service: 'beta', timeout_ms: 2000},
 	{host: 'a.example', prefix: '/small/', kind: 'safe', service: 'alpha', timeout_ms: 2000},
 	{host: 'a.example', prefix: '/large/', kind: 'safe', service: 'beta', timeout_ms: 2000},
@@ -76,7 +76,9 @@
 		callers.length = 0;
 		other.backend.seen.length = 0;
 		other.backend.work = work;
-		if (mesh.log(stopping).some(({event}) => event === 'node-stopped')) {
+		if (
+			mesh.log(stopping).some(({event}) => event === 'node-stopped' || event === 'node-stop-forced')
+		) {
 			await mesh.startNode(stopping);
 			await mesh.settle();
 			await mesh.statusFor(stopping, {path: '/far/first', method: 'POST'});
@@ -132,6 +134,31 @@
 		},
 	);
 
+	// Guards against requests whose heads were read in time, but which are passed on too late to be answered.
+	it('cuts no request whose body arrives while it stops', async () => {
+		await restart();
+		other.backend.work = 3000;
+		const bodies = ['b1', 'b2', 'b3'];
+		for (const id of bodies) {
+			const caller = await open();
+			caller.send(`${rawHead('POST', '/patient/', id, {length: 4, deadline: 10_000})}bo`);
+		}
+
+		const termAt = performance.now();
+		const ended = mesh.endNode(stopping, 'SIGTERM');
+		await eventually(isClosed, 5);
+		for (const caller of callers) {
+			caller.send('dy');
+		}
+
+		await ended;
+		expect(performance.now() - termAt).toBeLessThan(stopTimeout);
+		await Promise.all(callers.map(async (caller) => caller.closed));
+		expect(findCut(callers, ran())).toEqual([]);
+		const answers = callers.flatMap((caller) => caller.answers());
+		expect(answers.map(({status}) => status)).toEqual([503, 503, 503]);
+	});
+
 	// Guards against a connection that is destroyed as its answer was handed over, while it has not taken all of it.
 	it('cuts no answer that a slow caller has not taken when the ingress closes', async () => {
 		await restart();
