Soak planned stops between processes under callers of many kinds

Tests of planned stops covered single cases; a request that was cut around a stop on the users' machines was found by none of them.

StopSoak stops and restarts one or two nodes a round, drawn from a seed, with a second SIGTERM, SIGHUP, changes of the configuration, and backend servers that stay or leave first. Callers on kept, new and early connections, in pieces, pipelined, slow, with uploads and nested calls go on until the process is gone. It checks for requests that are cut, run twice, refused and run, answered wrongly or denied, and for stops that end late or forced.

--- a/scaffold/mesh/mesh-backend.ts
+++ b/scaffold/mesh/mesh-backend.ts
@@ -54,7 +54,7 @@
 	});
 
 	constructor(
-		readonly identity: BackendIdentity,
+		public identity: BackendIdentity,
 		private readonly address: string,
 		/** Where heartbeats go. */
 		private readonly control: string,
@@ -123,6 +123,22 @@
 		}
 	}
 
+	/**
+	 * Ends and starts again at the same address.
+	 * @param instance - its new instance id.
+	 * @param pause - until when it stays away.
+	 */
+	async restart(instance: string, pause: Promise<void>): Promise<void> {
+		const {port} = this.server.address() as AddressInfo;
+		this.close();
+		await pause;
+		this.identity = {...this.identity, instance, born: this.identity.born + 1};
+		this.sequence = 0;
+		this.state = 'ready';
+		await this.listen(port);
+		this.startHeartbeats();
+	}
+
 	private async say(path: string, body: string): Promise<number | undefined> {
 		try {
 			const headers = {'content-type': 'application/json'};
--- a/scaffold/soak.ts
+++ b/scaffold/soak.ts
@@ -1,27 +1,76 @@
-/** Runs the soak of the configuration with some seeds: `node dist/scaffold/soak.js FIRST-SEED COUNT ROUNDS`. */
+/**
+ * Runs a soak with some seeds: `node dist/scaffold/soak.js [--stops] FIRST-SEED COUNT ROUNDS`. It changes the
+ * configuration, or stops nodes as planned with `--stops`.
+ */
 import process from 'node:process';
+import {parseArgs} from 'node:util';
 import {ConfigurationSoak} from './mesh/configuration-soak.js';
 import {Mesh} from './mesh/mesh.js';
+import {StopSoak} from './mesh/stop-soak.js';
 
-const [first = 1, count = 1, rounds = 5] = process.argv.slice(2).map(Number);
+interface SoakResult {
+	readonly violations: ReadonlyArray<{readonly text: string; readonly events: readonly string[]}>;
+	/** What is told besides. */
+	readonly notes: readonly string[];
+}
+
+const nodeCount = 8;
+
+async function soakConfiguration(mesh: Mesh, seed: number, rounds: number): Promise<SoakResult> {
+	const soak = new ConfigurationSoak(mesh, seed);
+	await soak.open();
+	await soak.run(rounds);
+	const violations = soak.violations.map(({node, text, events}) => ({
+		text: `${node}: ${text}`,
+		events,
+	}));
+	return {violations, notes: []};
+}
+
+async function soakStops(mesh: Mesh, seed: number, rounds: number): Promise<SoakResult> {
+	const soak = new StopSoak(mesh, seed);
+	await soak.open(nodeCount);
+	await soak.run(rounds);
+	const violations = soak.violations.map(({kind, text, events}) => ({
+		text: `${kind} ${text}`,
+		events,
+	}));
+	const stalls = soak.stalls.map(({text}) => `stalled ${text}`);
+	return {
+		violations,
+		notes: [
+			`${soak.requests.length} requests, ${stalls.length} stalls`,
+			...stalls,
+			...soak.history,
+		],
+	};
+}
+
+const {values, positionals} = parseArgs({
+	options: {stops: {type: 'boolean', default: false}},
+	allowPositionals: true,
+});
+const [first = 1, count = 1, rounds = 5] = positionals.map(Number);
+const soak = values.stops ? soakStops : soakConfiguration;
 let broken = 0;
 for (let seed = first; seed < first + count; seed++) {
 	const mesh = new Mesh(150 + (seed % 50));
-	const soak = new ConfigurationSoak(mesh, seed);
 	try {
-		await soak.open();
-		await soak.run(rounds);
-	} finally {
-		await mesh.stop();
-	}
+		const {violations, notes} = await soak(mesh, seed, rounds);
+		broken += violations.length > 0 ? 1 : 0;
+		console.log(`seed ${seed}: ${violations.length} violations`);
+		for (const {text, events} of violations) {
+			console.log(`  ${text}`);
+			for (const event of events) {
+				console.log(`    ${event}`);
+			}
+		}
 
-	broken += soak.violations.length > 0 ? 1 : 0;
-	console.log(`seed ${seed}: ${soak.violations.length} violations`);
-	for (const {node, text, events} of soak.violations) {
-		console.log(`  ${node}: ${text}`);
-		for (const event of events) {
-			console.log(`    ${event}`);
+		for (const note of notes) {
+			console.log(`  ${note}`);
 		}
+	} finally {
+		await mesh.stop();
 	}
 }
 
