--- a/scaffold/mesh/stop-soak.ts
+++ b/scaffold/mesh/stop-soak.ts
@@ -393,7 +393,8 @@
 			return {prefix: `/upload-${service}/`, kind: 'upload', timeout: longTimeout};
 		}
 
-		const kind = isPlain || random.below(2) === 0 ? 'safe' : 'unsafe';
+		const isSafe = isPlain === true || random.below(2) === 0;
+		const kind = isSafe ? 'safe' : 'unsafe';
 		if (random.next() < longShare) {
 			return {prefix: `/long-${kind}-${service}/`, kind, timeout: longTimeout};
 		}
@@ -455,7 +456,7 @@
 				const isNear = at > from - stopTimeout && at < to + stopTimeout;
 				const isOfProcess = item === node && numbers.has(event.number) && isNear;
 				const text = JSON.stringify({...event, level: undefined, message: undefined});
-				if ([text.includes(needle), isOfProcess].includes(true)) {
+				if (isOfProcess || text.includes(needle)) {
 					lines.push(`${item.name} ${text}`);
 				}
 			}
