--- a/src/control/__tests__/unit/configuration-feed.test.ts
+++ b/src/control/__tests__/unit/configuration-feed.test.ts
@@ -115,6 +115,15 @@
 		expect(requestedPositions).toEqual([undefined, 10, undefined, 40]);
 	});
 
+	// The test runs for 5 s; each snapshot is a call that sends the whole configuration.
+	it('reads few snapshots while the store has no history at all', async () => {
+		const steps = Array.from({length: 100}, () => [page('3', 10), new HistoryLostError('gone')]);
+		const {requestedPositions} = await runFeed(steps.flat());
+		const snapshots = requestedPositions.filter((position) => position === undefined).length;
+		expect(snapshots).toBeGreaterThan(4);
+		expect(snapshots).toBeLessThan(20);
+	});
+
 	it('logs the loss of the feed once and its recovery once', async () => {
 		const down = new StoreUnavailableError('down');
 		const {inForce, events} = await runFeed([page('3', 10), down, down, down, page('4', 11)]);
--- a/src/control/configuration-feed.ts
+++ b/src/control/configuration-feed.ts
@@ -82,6 +82,8 @@
 	/** Clock of the store at its last answer, and that of the node at that moment. */
 	private storeTime: {readonly at: Millis; readonly readAt: Millis} | undefined;
 	private retryDelay = initialRetryDelay;
+	/** Times in a row that the store did not have the changes since its own snapshot. */
+	private lostHistories = 0;
 	private lastReporter: string | undefined;
 	private isReachable = true;
 	private isStopped = false;
@@ -183,6 +185,7 @@
 			this.position = page.position;
 			this.recordStoreTime(page.storeTime);
 			this.recordSuccess();
+			this.lostHistories = isSnapshot ? this.lostHistories : 0;
 			// Before the configuration, as a node accepts calls as soon as it has one.
 			evacuations?.read(page, isSnapshot);
 			for (const change of page.changes) {
@@ -219,7 +222,8 @@
 		if (err instanceof HistoryLostError) {
 			logger.log(logEvents.feedHistoryLost, {...this.position});
 			this.position = undefined;
-			return 0;
+			this.lostHistories += 1;
+			return this.delayAfterLostHistory();
 		}
 
 		const isNewlySilent = err instanceof StoreSilentError && this.isReachable;
@@ -246,6 +250,13 @@
 		return delay;
 	}
 
+	// A store may drop its history again and again; each snapshot is a call and sends the whole configuration.
+	private delayAfterLostHistory(): Millis {
+		const repeats = this.lostHistories - 1;
+		const delay = repeats === 0 ? 0 : initialRetryDelay * 2 ** (repeats - 1);
+		return Math.min(maxRetryDelay, delay) * (0.5 + this.deps.random.next());
+	}
+
 	private applyChange({key, value}: RowChange): void {
 		const {source, revisions, gossip, logger} = this.deps;
 		if (key !== source.key || value === undefined) {
