Ask the next peer for a configuration while one does not answer

A node that knew of a change asked five peers for its content in turn. A wrong content from one peer also ended the round.

The next peer is asked after 0.05 of the time to apply a change, or at once if one has nothing to give. A peer that answers at once is asked alone.

--- a/src/control/content-fetcher.ts
+++ b/src/control/content-fetcher.ts
@@ -29,6 +29,8 @@
 const sampledRegionPeers = 3;
 /** Share of the time to apply a change that a peer may take to show that its link works. */
 const patienceShare = 0.1;
+/** Share of the time to apply a change after which the next peer is asked while one has not answered. */
+const staggerShare = 0.05;
 /** Time since the last frame from a peer up to which its link is used without a check. */
 const maxQuiet: Millis = 200;
 
@@ -68,23 +70,39 @@
 		}
 	}
 
+	// The next peer is asked as soon as one has nothing to give, or has not answered for a short time: over silent links
+	// and from peers that stop or are overloaded, one answer after the other took longer than a change may take.
 	private async fetchFromPeers(hash: string, reporter: string | undefined): Promise<boolean> {
-		const {gossip} = this.deps;
+		const {gossip, clock, applyBound, revisions} = this.deps;
 		const self = gossip.localMember;
+		const questions: Array<Promise<boolean>> = [];
 		for (const id of this.candidatePeers(reporter)) {
 			if (id === self.id) {
 				continue;
 			}
 
-			// Sequential, as one copy is enough.
-			const session = await this.connect(id); // eslint-disable-line no-await-in-loop
+			const question = this.askPeer(id, hash);
+			questions.push(question);
+			const patience = pause(clock, applyBound * staggerShare).then(() => false);
 			// eslint-disable-next-line no-await-in-loop
-			if (session && (await this.fetchFrom(session, hash))) {
+			const isHeld = await Promise.race([question, patience]);
+			if (isHeld || !revisions.missing().includes(hash)) {
 				return true;
 			}
 		}
 
-		return false;
+		return isAnyTrue(questions);
+	}
+
+	private async askPeer(id: string, hash: string): Promise<boolean> {
+		try {
+			const session = await this.connect(id);
+			const isWanted = this.deps.revisions.missing().includes(hash);
+			return session !== undefined && (!isWanted || (await this.fetchFrom(session, hash)));
+		} catch (err) {
+			this.deps.logger.log(logEvents.revisionRejected, {hash, peer: id, error: String(err)});
+			return false;
+		}
 	}
 
 	// A peer that cannot be reached must not hold up the question to the next one.
@@ -147,3 +165,15 @@
 		return [...new Set([...(reporter === undefined ? [] : [reporter]), ...sampled])];
 	}
 }
+
+async function isAnyTrue(results: ReadonlyArray<Promise<boolean>>): Promise<boolean> {
+	const waits = results.map(async (result) => {
+		if (!(await result)) {
+			throw new Error('not held');
+		}
+	});
+	return Promise.any(waits).then(
+		() => true,
+		() => false,
+	);
+}
