Bound the wait for a small body by the request's deadline

A request with a body of up to 64 KiB that stopped arriving stayed open until its caller closed the connection, or for the 60 s of the HTTP server: it was not refused, kept its memory, and made a stop of the node wait for the whole stop timeout and end forced.

Uploads were bounded already. The body must now be complete by the deadline; otherwise the request is refused as not run (408).

Red before: ingress.test.ts "refuses a request whose small body is not complete by its deadline": no answer within the 120 s of the test. Found by reading for waits that hold up a stop.

--- a/src/ingress/__tests__/unit/ingress.test.ts
+++ b/src/ingress/__tests__/unit/ingress.test.ts
@@ -261,6 +261,16 @@
 		expect(values.map(({labels, value}) => [labels.cut, value])).toEqual([['caller', 1]]);
 	});
 
+	// Guards against a request that stays open until its caller leaves, so that a stop has to wait for it.
+	it('refuses a request whose small body is not complete by its deadline', async () => {
+		const caller = open();
+		caller.socket.write('POST /brief/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n01234');
+		await until(() => caller.statuses.length === 1);
+		expect(caller.statuses).toEqual([408]);
+		expect(started).toEqual([]);
+		await until(() => ingress.inFlight === 0);
+	});
+
 	it('runs no unsafe request behind an answer that closes the connection', async () => {
 		const caller = open();
 		caller.send('/safe/1', '/unsafe/2');
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -425,7 +425,7 @@
 
 		this.customers.enter(turn.res, parameters, this.answers.callCount);
 		this.answers.identify(turn.res, parameters.origin);
-		const body = await this.readAdmittedBody(req, turn.res, parameters, index);
+		const body = await this.readAdmittedBody(turn, parameters, index, deadline);
 		const head = createHead(req, parameters, body);
 		const cancellation = new Cancellation();
 		// A call with an idempotency key continues when its caller disconnects, since the caller is expected
@@ -466,10 +466,10 @@
 	}
 
 	private async readBody(
-		req: IncomingMessage,
-		res: ServerResponse,
+		{req, res}: CallerTurn,
 		{isUpload = false}: CallParameters,
 		index: DeclarationIndex,
+		deadline: Deadline,
 	): Promise<Body> {
 		const lease = this.bodyMemory.open();
 		res.once('close', () => {
@@ -479,6 +479,7 @@
 			clock: this.deps.clock,
 			lease,
 			isUpload,
+			deadline,
 			maxBytes: index.declaration.callerLimits?.maxBodyBytes ?? Number.POSITIVE_INFINITY,
 			beginReading: () => {
 				if (this.awaitingContinue.delete(req)) {
@@ -490,10 +491,10 @@
 
 	// A customer's request is counted before its body is read, once for all its attempts.
 	private async readAdmittedBody(
-		req: IncomingMessage,
-		res: ServerResponse,
+		turn: CallerTurn,
 		parameters: CallParameters,
 		index: DeclarationIndex,
+		deadline: Deadline,
 	): Promise<Body> {
 		const {customer} = parameters.policy;
 		const {quota} = this.deps;
@@ -504,11 +505,11 @@
 
 		try {
 			// Nothing reports the end of a connection that has closed before the body is read.
-			if (req.destroyed) {
+			if (turn.req.destroyed) {
 				throw new RequestBodyError('connection closed before the request body was read');
 			}
 
-			return await this.readBody(req, res, parameters, index);
+			return await this.readBody(turn, parameters, index, deadline);
 		} catch (err) {
 			quota?.giveBack(customer);
 			throw err;
--- a/src/ingress/request-body.ts
+++ b/src/ingress/request-body.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage} from 'node:http';
+import {RefusalReason, type Deadline} from '../call/index.js';
 import type {Clock} from '../clock/index.js';
 import {
 	createStreamBody,
@@ -7,6 +8,7 @@
 	type Body,
 } from '../exchange/index.js';
 import type {BodyLease} from './body-memory.js';
+import {RefusedRequestError} from './caller-protocol.js';
 import {RequestBodyError} from './request-body-error.js';
 import {UploadBody} from './upload-body.js';
 
@@ -19,6 +21,8 @@
 	readonly isUpload: boolean;
 	/** Largest accepted size, in bytes. */
 	readonly maxBytes: number;
+	/** When the caller stops waiting. */
+	readonly deadline: Deadline;
 	/** Called before the first byte is read, to tell a caller that waits for it. */
 	beginReading(): void;
 }
@@ -41,7 +45,7 @@
  * @param reading - how to read it.
  * @returns the body; an {@link UploadBody} is not read before its `receive` is called.
  * @throws {@link RequestBodyError} when the connection closes before the end of a buffered body.
- * @throws {@link RefusedRequestError} when there is no memory for a buffered body.
+ * @throws {@link RefusedRequestError} when there is no memory for a buffered body, or the deadline passes before its end.
  */
 export async function readRequestBody(req: IncomingMessage, reading: BodyReading): Promise<Body> {
 	const length = req.headers['content-length'];
@@ -64,11 +68,18 @@
 
 	lease.grow(size);
 	beginReading();
-	return createBufferedBody(await collect(req, Number(length)));
+	return createBufferedBody(await collect(req, Number(length), reading));
 }
 
-async function collect(req: IncomingMessage, length: number): Promise<Uint8Array> {
+async function collect(
+	req: IncomingMessage,
+	length: number,
+	{clock, deadline}: BodyReading,
+): Promise<Uint8Array> {
 	return new Promise((resolve, reject) => {
+		const undo = clock.after(deadline.timeLeft(clock.now()), () => {
+			reject(new RefusedRequestError(RefusalReason.BodyTooSlow));
+		});
 		const bytes = new Uint8Array(length);
 		let offset = 0;
 		req.on('data', (chunk: Uint8Array) => {
@@ -76,9 +87,11 @@
 			offset += chunk.length;
 		});
 		req.once('end', () => {
+			undo();
 			resolve(bytes);
 		});
 		req.once('close', () => {
+			undo();
 			reject(new RequestBodyError('connection closed before the request body was complete'));
 		});
 	});
