End the streamed answers of a hedged call that are not passed on

An error answer above 64 KiB was kept while another copy of the call ran. When that one was answered, nobody read or canceled the first, so that it kept its slot until the deadline.

HedgeRace destroys the bodies that it does not pass on, which cancels their attempts.

Red before: hedge.test.ts "ends the streamed answers that are not passed on", all four cases.

--- a/src/ingress/__tests__/unit/hedge.test.ts
+++ b/src/ingress/__tests__/unit/hedge.test.ts
@@ -1,3 +1,4 @@
+import {Readable} from 'node:stream';
 import {describe, expect, it} from 'vitest';
 import {RefusalReason} from '../../../call/index.js';
 import {
@@ -6,6 +7,7 @@
 	createRefused,
 	createUnknown,
 	createBufferedBody,
+	createStreamBody,
 	type AttemptResult,
 } from '../../../exchange/index.js';
 import {withResolvers} from '../../../util/index.js';
@@ -16,14 +18,13 @@
 	return {cancellation: new Cancellation(), result: promise, resolve};
 }
 
-function answer(status: number): AttemptResult {
-	return {
-		end: AttemptEnd.Answered,
-		status,
-		headers: [],
-		body: createBufferedBody(new Uint8Array()),
-		load: undefined,
-	};
+function answer(status: number, stream?: Readable): AttemptResult {
+	const body = stream ? createStreamBody(stream) : createBufferedBody(new Uint8Array());
+	return {end: AttemptEnd.Answered, status, headers: [], body, load: undefined};
+}
+
+function createStream(): Readable {
+	return new Readable({read: () => undefined});
 }
 
 describe('HedgeRace', () => {
@@ -80,4 +81,26 @@
 		second.resolve(createUnknown(RefusalReason.BackendLost));
 		expect(await race.result).toMatchObject({status: 500});
 	});
+
+	// Guards against a body that nobody reads, which keeps a slot of its backend server until the deadline.
+	it.each([
+		[500, 200],
+		[500, 500],
+		[200, 500],
+		[200, 200],
+	])('ends the streamed answers that are not passed on (%i, then %i)', async (one, other) => {
+		const first = createAttempt();
+		const second = createAttempt();
+		const streams = [createStream(), createStream()];
+		const race = new HedgeRace(first);
+		race.add(second);
+		first.resolve(answer(one, streams[0]));
+		second.resolve(answer(other, streams[1]));
+		const result = await race.result;
+		await second.result;
+		const passedOn = result.end === AttemptEnd.Answered ? result.body.stream : undefined;
+		for (const stream of streams) {
+			expect(stream.destroyed).toBe(stream !== passedOn);
+		}
+	});
 });
--- a/src/ingress/hedge.ts
+++ b/src/ingress/hedge.ts
@@ -54,17 +54,35 @@
 
 	private finish(attempt: SentAttempt, result: AttemptResult): void {
 		this.open.delete(attempt);
+		if (this.isSettled) {
+			discard(result);
+			return;
+		}
+
 		const isSuccess = result.end === AttemptEnd.Answered && result.status < serverErrorStatus;
-		this.fallback = isSuccess ? this.fallback : higherPrecedence(this.fallback, result);
-		const isDecided = isSuccess || this.open.size === 0;
-		if (this.isSettled || !isDecided) {
+		const chosen = isSuccess ? result : higherPrecedence(this.fallback, result);
+		for (const rejected of [this.fallback, result]) {
+			if (rejected !== chosen) {
+				discard(rejected);
+			}
+		}
+
+		this.fallback = chosen;
+		if (!isSuccess && this.open.size > 0) {
 			return;
 		}
 
 		this.isSettled = true;
-		this.resolve(isSuccess ? result : (this.fallback ?? result));
+		this.resolve(chosen);
 		for (const other of this.open) {
 			other.cancellation.cancel();
 		}
 	}
 }
+
+// A body that nobody reads would keep its slot until the deadline.
+function discard(result: AttemptResult | undefined): void {
+	if (result?.end === AttemptEnd.Answered) {
+		result.body.stream?.destroy();
+	}
+}
