--- a/scaffold/mesh/stop-checks.ts
+++ b/scaffold/mesh/stop-checks.ts
@@ -142,8 +142,8 @@
 			return;
 		}
 
+		// The end of an overdue answer closes the connection, also for the requests behind it.
 		if (req.behind && isOverdue(req.behind)) {
-			this.add(StopFinding.Stalled, req, `behind ${req.behind.id}, which reached its deadline`);
 			return;
 		}
 
@@ -155,9 +155,11 @@
 		}
 	}
 
+	// An answer that waits for its turn behind another one has not stalled itself.
 	private checkStall(req: SoakRequest, runs: readonly SoakRun[]): void {
 		const writtenBy = overAtOf(req) - stallTime;
-		if (req.end !== SoakEnd.Answered && runs.some((run) => isAnsweredBy(run, writtenBy))) {
+		const isDue = req.end !== SoakEnd.Answered && req.behind === undefined;
+		if (isDue && runs.some((run) => isAnsweredBy(run, writtenBy))) {
 			this.add(StopFinding.Stalled, req, describeBytes(req));
 		}
 	}
--- a/scaffold/soak.ts
+++ b/scaffold/soak.ts
@@ -1,5 +1,5 @@
 /**
- * Runs a soak with some seeds: `node dist/scaffold/soak.js [--stops] FIRST-SEED COUNT ROUNDS`. It changes the
+ * Runs a soak with some seeds: `node dist/scaffold/soak.js [--stops [--nodes 8]] FIRST-SEED COUNT ROUNDS`. It changes the
  * configuration, or stops nodes as planned with `--stops`.
  */
 import process from 'node:process';
@@ -14,7 +14,13 @@
 	readonly notes: readonly string[];
 }
 
-const nodeCount = 8;
+const {values, positionals} = parseArgs({
+	options: {
+		stops: {type: 'boolean', default: false},
+		nodes: {type: 'string', default: '8'},
+	},
+	allowPositionals: true,
+});
 
 async function soakConfiguration(mesh: Mesh, seed: number, rounds: number): Promise<SoakResult> {
 	const soak = new ConfigurationSoak(mesh, seed);
@@ -29,7 +35,7 @@
 
 async function soakStops(mesh: Mesh, seed: number, rounds: number): Promise<SoakResult> {
 	const soak = new StopSoak(mesh, seed);
-	await soak.open(nodeCount);
+	await soak.open(Number(values.nodes));
 	await soak.run(rounds);
 	const violations = soak.violations.map(({kind, text, events}) => ({
 		text: `${kind} ${text}`,
@@ -46,10 +52,6 @@
 	};
 }
 
-const {values, positionals} = parseArgs({
-	options: {stops: {type: 'boolean', default: false}},
-	allowPositionals: true,
-});
 const [first = 1, count = 1, rounds = 5] = positionals.map(Number);
 const soak = values.stops ? soakStops : soakConfiguration;
 let broken = 0;
