--- a/scaffold/soak.ts
+++ b/scaffold/soak.ts
@@ -6,6 +6,7 @@
 import {parseArgs} from 'node:util';
 import {ConfigurationSoak} from './mesh/configuration-soak.js';
 import {Mesh} from './mesh/mesh.js';
+import {SoakEnd, type SoakRequest} from './mesh/soak-request.js';
 import {StopSoak} from './mesh/stop-soak.js';
 
 interface SoakResult {
@@ -33,6 +34,17 @@
 	return {violations, notes: []};
 }
 
+/** @returns how many requests were answered with each status, or ended otherwise. */
+function countEnds(requests: readonly SoakRequest[]): string {
+	const counts = new Map<string, number>();
+	for (const {end = 'not sent', status} of requests) {
+		const name = end === SoakEnd.Answered ? String(status) : end;
+		counts.set(name, (counts.get(name) ?? 0) + 1);
+	}
+
+	return [...counts].map(([name, count]) => `${count} ${name}`).join(', ');
+}
+
 async function soakStops(mesh: Mesh, seed: number, rounds: number): Promise<SoakResult> {
 	const soak = new StopSoak(mesh, seed);
 	await soak.open(Number(values.nodes));
@@ -46,6 +58,7 @@
 		violations,
 		notes: [
 			`${soak.requests.length} requests, ${stalls.length} stalls`,
+			countEnds(soak.requests),
 			...stalls,
 			...soak.history,
 		],
--- a/tests/stop-soak.test.ts
+++ b/tests/stop-soak.test.ts
@@ -15,4 +15,5 @@
 	await soak.open(6);
 	await soak.run(2);
 	expect(soak.violations).toEqual([]);
+	expect(soak.requests.filter(({status}) => status === 200).length).toBeGreaterThan(500);
 }, 90_000);
