--- a/scaffold/soak.ts
+++ b/scaffold/soak.ts
@@ -1,11 +1,12 @@
 /**
- * Runs a soak with some seeds: `node dist/scaffold/soak.js [--stops] FIRST-SEED COUNT ROUNDS`. It changes the
+ * Runs a soak with some seeds: `node dist/scaffold/soak.js [--stops [--nodes 8]] FIRST-SEED COUNT ROUNDS`. It changes the
  * configuration, or stops nodes as planned with `--stops`.
  */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {ConfigurationSoak} from './mesh/configuration-soak.js';
 import {Mesh} from './mesh/mesh.js';
+import {SoakEnd, type SoakRequest} from './mesh/soak-request.js';
 import {StopSoak} from './mesh/stop-soak.js';
 
 interface SoakResult {
@@ -14,7 +15,13 @@
 	readonly notes: readonly string[];
 }
 
-const nodeCount = 8;
+const {values, positionals} = parseArgs({
+	options: {
+		stops: {type: 'boolean', default: false},
+		nodes: {type: 'string', default: '8'},
+	},
+	allowPositionals: true,
+});
 
 async function soakConfiguration(mesh: Mesh, seed: number, rounds: number): Promise<SoakResult> {
 	const soak = new ConfigurationSoak(mesh, seed);
@@ -27,9 +34,20 @@
 	return {violations, notes: []};
 }
 
+/** @returns how many requests were answered with each status, or ended otherwise. */
+function countEnds(requests: readonly SoakRequest[]): string {
+	const counts = new Map<string, number>();
+	for (const {end = 'not sent', status} of requests) {
+		const name = end === SoakEnd.Answered ? String(status) : end;
+		counts.set(name, (counts.get(name) ?? 0) + 1);
+	}
+
+	return [...counts].map(([name, count]) => `${count} ${name}`).join(', ');
+}
+
 async function soakStops(mesh: Mesh, seed: number, rounds: number): Promise<SoakResult> {
 	const soak = new StopSoak(mesh, seed);
-	await soak.open(nodeCount);
+	await soak.open(Number(values.nodes));
 	await soak.run(rounds);
 	const violations = soak.violations.map(({kind, text, events}) => ({
 		text: `${kind} ${text}`,
@@ -40,16 +58,13 @@
 		violations,
 		notes: [
 			`${soak.requests.length} requests, ${stalls.length} stalls`,
+			countEnds(soak.requests),
 			...stalls,
 			...soak.history,
 		],
 	};
 }
 
-const {values, positionals} = parseArgs({
-	options: {stops: {type: 'boolean', default: false}},
-	allowPositionals: true,
-});
 const [first = 1, count = 1, rounds = 5] = positionals.map(Number);
 const soak = values.stops ? soakStops : soakConfiguration;
 let broken = 0;
