Read answers to their end when their connection ends

Callers of a node lost all requests in flight when the backend server beside it answered with Connection: close and more than 64 KiB: the process ended with exit code 1. Cause: undici asserts at the end of a connection that is not kept alive, and at its reset, that the answer isn't paused. A node pauses answers whose reader is slow, and the end is reported when nothing is left unread on the socket.

The answer is now resumed ahead of undici's own handling of the end, and not paused again: nothing more can come. This replaces ResetWatch.

--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -17,8 +17,8 @@
 	type BackendNotice,
 	type BackendProtocol,
 } from './backend-protocol.js';
+import type {ConnectionEnds} from './connection-ends.js';
 import {hasHeader, stripHeaders} from './headers.js';
-import type {ResetWatch} from './reset-watch.js';
 
 /** Checks whether a request may still be sent, immediately before its first byte is written. */
 export interface WriteGate {
@@ -55,11 +55,6 @@
 	override name = 'ForeignAnswerError';
 }
 
-/** The connection was reset before the answer was complete. */
-class ResetAnswerError extends Error {
-	override name = 'ResetAnswerError';
-}
-
 const notRunReasons: Readonly<Partial<Record<AnswerKind, RefusalReason>>> = {
 	[AnswerKind.NotRun]: RefusalReason.BackendRefused,
 	[AnswerKind.OtherInstance]: RefusalReason.BackendReplaced,
@@ -68,7 +63,6 @@
 export interface BackendCallDependencies {
 	readonly requestId: string;
 	readonly protocol: BackendProtocol;
-	readonly resets: ResetWatch;
 	readonly gate: WriteGate;
 	readonly listener: BackendCallListener;
 	/** Receives the result of the call; the body may still be streaming. */
@@ -78,10 +72,12 @@
 /** One request to the backend server. */
 export class BackendCall implements Dispatcher.DispatchHandler {
 	private controller: Dispatcher.DispatchController | undefined;
+	private connection: ConnectionEnds | undefined;
 	private gateReason: RefusalReason | undefined;
 	private isWritten = false;
 	private isEnded = false;
 	private isCanceled = false;
+	private hasConnectionEnded = false;
 	private status = 0;
 	private answerKind = AnswerKind.Answer;
 	private headers: HeaderList = [];
@@ -92,6 +88,13 @@
 
 	constructor(private readonly deps: BackendCallDependencies) {}
 
+	/**
+	 * @param connection - connection that the request is about to be sent on.
+	 */
+	setConnection(connection: ConnectionEnds): void {
+		this.connection = connection;
+	}
+
 	// The undici library calls this in the same event loop turn in which it writes the first byte.
 	onRequestStart(controller: Dispatcher.DispatchController): void {
 		this.controller = controller;
@@ -143,20 +146,10 @@
 			return;
 		}
 
-		if (!this.stream.write(chunk)) {
-			controller.pause();
-		}
+		this.write(this.stream, chunk, controller);
 	}
 
 	onResponseEnd(controller: Dispatcher.DispatchController): void {
-		if (this.deps.resets.isResetting) {
-			this.onResponseError(
-				controller,
-				new ResetAnswerError('connection reset before the answer was complete'),
-			);
-			return;
-		}
-
 		this.trailers.push(...toHeaderList(controller.rawTrailers));
 		this.end({isFailure: this.status >= serverErrorStatus, isBroken: false});
 		if (this.stream) {
@@ -192,8 +185,17 @@
 	private startStream(controller: Dispatcher.DispatchController): void {
 		const stream = new PassThrough({highWaterMark: maxInlineBodyBytes});
 		this.stream = stream;
-		stream.on('drain', () => {
+		const resume = () => {
 			controller.resume();
+		};
+
+		this.connection?.setAnswer(() => {
+			this.hasConnectionEnded = true;
+			resume();
+		});
+		// In a microtask, as undici can't resume one connection while it reads from another.
+		stream.on('drain', () => {
+			queueMicrotask(resume);
 		});
 		stream.on('error', () => undefined);
 		stream.once('close', () => {
@@ -202,9 +204,7 @@
 			}
 		});
 		for (const chunk of this.chunks.splice(0)) {
-			if (!stream.write(chunk)) {
-				controller.pause();
-			}
+			this.write(stream, chunk, controller);
 		}
 
 		this.deps.resolve({
@@ -216,6 +216,17 @@
 		});
 	}
 
+	// A paused answer gets an empty chunk when it is resumed at the end of its connection.
+	private write(
+		stream: PassThrough,
+		chunk: Uint8Array,
+		controller: Dispatcher.DispatchController,
+	): void {
+		if (!stream.write(chunk) && !this.hasConnectionEnded) {
+			controller.pause();
+		}
+	}
+
 	private createResult(): AttemptResult {
 		const notRun = notRunReasons[this.answerKind];
 		if (notRun !== undefined) {
--- a/src/executor/backend-client.ts
+++ b/src/executor/backend-client.ts
@@ -1,6 +1,6 @@
 import {PassThrough, type Readable} from 'node:stream';
 import {LRUCache} from 'lru-cache';
-import {Client, Pool, type Dispatcher} from 'undici';
+import {Pool} from 'undici';
 import {RefusalReason} from '../call/index.js';
 import type {Clock} from '../clock/index.js';
 import {
@@ -16,8 +16,8 @@
 	type BackendCallListener,
 	type WriteGate,
 } from './backend-call.js';
+import {BackendConnection, type BackendRequest} from './backend-connection.js';
 import type {BackendProtocol} from './backend-protocol.js';
-import {ResetWatch} from './reset-watch.js';
 
 /** Address and limits of a backend server. */
 export interface BackendTarget {
@@ -64,7 +64,6 @@
 /** Sends requests over pooled HTTP connections. */
 export class BackendClient implements BackendSender {
 	private readonly pool: Pool;
-	private readonly resets = new ResetWatch();
 	private readonly refusedRequests = new LRUCache<string, true>({max: maxRefusedRequests});
 
 	constructor(
@@ -72,7 +71,10 @@
 		private readonly protocol: BackendProtocol,
 		private readonly clock: Pick<Clock, 'now'>,
 	) {
-		this.pool = new Pool(this.origin, {...this.options, connections: target.connections});
+		this.pool = new Pool(this.origin, {
+			connections: target.connections,
+			factory: () => this.createConnection(),
+		});
 	}
 
 	async send(
@@ -84,21 +86,18 @@
 		const timeLeft = deadline.timeLeft(this.clock.now());
 		const {requestId} = head.origin;
 		const result = await new Promise<AttemptResult>((resolve) => {
-			const {protocol, resets} = this;
-			const call = new BackendCall({requestId, protocol, resets, gate, listener, resolve});
+			const {protocol} = this;
+			const call = new BackendCall({requestId, protocol, gate, listener, resolve});
 			cancellation.registerListener(() => {
 				call.cancel();
 			});
-			this.dispatch(
-				requestId,
-				{
-					path: head.path,
-					method: head.method,
-					headers: this.protocol.requestHeaders(attempt, timeLeft, this.target.instance),
-					body: body.stream ? copyStream(body.stream) : undefinedIfEmpty(body.bytes),
-				},
+			this.dispatch(requestId, {
+				path: head.path,
+				method: head.method,
+				headers: this.protocol.requestHeaders(attempt, timeLeft, this.target.instance),
+				body: body.stream ? copyStream(body.stream) : undefinedIfEmpty(body.bytes),
 				call,
-			);
+			});
 		});
 		if (result.end === AttemptEnd.Refused && result.reason === RefusalReason.BackendRefused) {
 			this.refusedRequests.set(requestId, true);
@@ -115,28 +114,19 @@
 		return `http://${formatEndpoint(this.target.endpoint)}`;
 	}
 
-	private get options(): Client.Options {
-		return {
-			pipelining: 1,
-			headersTimeout: 0,
-			bodyTimeout: 0,
-			connect: this.resets.createConnector(connectTimeoutMs),
-		};
+	private createConnection(): BackendConnection {
+		return new BackendConnection(this.origin, connectTimeoutMs);
 	}
 
 	// A faulty backend server may write a refusal again on a kept connection. There it would look like the answer to
 	// the same request when that is sent again, so the request gets a connection of its own.
-	private dispatch(
-		requestId: string,
-		options: Dispatcher.DispatchOptions,
-		call: BackendCall,
-	): void {
+	private dispatch(requestId: string, request: BackendRequest): void {
 		if (this.refusedRequests.has(requestId)) {
-			const client = new Client(this.origin, this.options);
-			client.dispatch(options, call);
-			void client.close();
+			const connection = this.createConnection();
+			connection.dispatch(request, request.call);
+			void connection.close();
 		} else {
-			this.pool.dispatch(options, call);
+			this.pool.dispatch(request, request.call);
 		}
 	}
 }
