Hold answers in blocks, not in the chunks they came in

A faulty backend server that writes chunks of one byte made a node hold far more than the bytes that its bounds count: a chunk is a view of the buffer that its read went into, and keeps all of it. The executor now copies small chunks into blocks before it keeps them, and passes them on only when the reader has taken what it had.

--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -1,4 +1,3 @@
-import {PassThrough} from 'node:stream';
 import type {Dispatcher} from 'undici';
 import {RefusalReason, type HeaderList} from '../call/index.js';
 import {
@@ -10,13 +9,14 @@
 	maxInlineBodyBytes,
 	type AttemptResult,
 } from '../exchange/index.js';
-import {concatBytes} from '../util/index.js';
+import {AnswerStream} from './answer-stream.js';
 import {
 	AnswerKind,
 	type BackendLoad,
 	type BackendNotice,
 	type BackendProtocol,
 } from './backend-protocol.js';
+import {ByteBlocks} from './byte-blocks.js';
 import type {ConnectionEnds} from './connection-ends.js';
 import {hasHeader, stripHeaders} from './headers.js';
 
@@ -82,9 +82,8 @@
 	private answerKind = AnswerKind.Answer;
 	private headers: HeaderList = [];
 	private readonly trailers: HeaderList = [];
-	private readonly chunks: Uint8Array[] = [];
-	private bufferedBytes = 0;
-	private stream: PassThrough | undefined;
+	private readonly blocks = new ByteBlocks();
+	private stream: AnswerStream | undefined;
 
 	constructor(private readonly deps: BackendCallDependencies) {}
 
@@ -136,9 +135,8 @@
 	// replaced by another attempt only while none of it has been forwarded.
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
 		if (!this.stream) {
-			this.chunks.push(chunk);
-			this.bufferedBytes += chunk.length;
-			if (this.bufferedBytes <= maxInlineBodyBytes) {
+			this.blocks.append(chunk);
+			if (this.blocks.length <= maxInlineBodyBytes) {
 				return;
 			}
 
@@ -153,7 +151,7 @@
 		this.trailers.push(...toHeaderList(controller.rawTrailers));
 		this.end({isFailure: this.status >= serverErrorStatus, isBroken: false});
 		if (this.stream) {
-			this.stream.end();
+			this.stream.complete();
 		} else {
 			this.deps.resolve(this.createResult());
 		}
@@ -183,27 +181,26 @@
 	}
 
 	private startStream(controller: Dispatcher.DispatchController): void {
-		const stream = new PassThrough({highWaterMark: maxInlineBodyBytes});
-		this.stream = stream;
 		const resume = () => {
 			controller.resume();
 		};
 
+		// In a microtask, as undici can't resume one connection while it reads from another.
+		const stream = new AnswerStream(() => {
+			queueMicrotask(resume);
+		});
+		this.stream = stream;
 		this.connection?.setAnswer(() => {
 			this.hasConnectionEnded = true;
 			resume();
 		});
-		// In a microtask, as undici can't resume one connection while it reads from another.
-		stream.on('drain', () => {
-			queueMicrotask(resume);
-		});
 		stream.on('error', () => undefined);
 		stream.once('close', () => {
 			if (!stream.readableEnded) {
 				this.cancel();
 			}
 		});
-		for (const chunk of this.chunks.splice(0)) {
+		for (const chunk of this.blocks.takeAll()) {
 			this.write(stream, chunk, controller);
 		}
 
@@ -218,7 +215,7 @@
 
 	// A paused answer gets an empty chunk when it is resumed at the end of its connection.
 	private write(
-		stream: PassThrough,
+		stream: AnswerStream,
 		chunk: Uint8Array,
 		controller: Dispatcher.DispatchController,
 	): void {
@@ -233,7 +230,7 @@
 			return createRefused(notRun);
 		}
 
-		const bytes = concatBytes(this.chunks);
+		const bytes = this.blocks.joinAll();
 		return {
 			end: AttemptEnd.Answered,
 			status: this.status,
--- a/tests/bundle.test.ts
+++ b/tests/bundle.test.ts
@@ -20,7 +20,7 @@
 			const imports = /^import \{(?<names>[^\}]*)\} from 'undici';$/mv.exec(
 				readFileSync(file, 'utf8'),
 			);
-			return imports?.groups?.['names']?.split(',') ?? [];
+			return imports?.groups?.names?.split(',') ?? [];
 		})
 		.map((name) => name.trim())
 		.filter((name) => name !== '' && !name.startsWith('type '));
