--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -1,4 +1,3 @@
-import {PassThrough} from 'node:stream';
 import type {Dispatcher} from 'undici';
 import {RefusalReason, type HeaderList} from '../call/index.js';
 import {
@@ -10,15 +9,16 @@
 	maxInlineBodyBytes,
 	type AttemptResult,
 } from '../exchange/index.js';
-import {concatBytes} from '../util/index.js';
+import {AnswerStream} from './answer-stream.js';
 import {
 	AnswerKind,
 	type BackendLoad,
 	type BackendNotice,
 	type BackendProtocol,
 } from './backend-protocol.js';
+import {ByteBlocks} from './byte-blocks.js';
+import type {ConnectionEnds} from './connection-ends.js';
 import {hasHeader, stripHeaders} from './headers.js';
-import type {ResetWatch} from './reset-watch.js';
 
 /** Checks whether a request may still be sent, immediately before its first byte is written. */
 export interface WriteGate {
@@ -55,11 +55,6 @@
 	override name = 'ForeignAnswerError';
 }
 
-/** The connection was reset before the answer was complete. */
-class ResetAnswerError extends Error {
-	override name = 'ResetAnswerError';
-}
-
 const notRunReasons: Readonly<Partial<Record<AnswerKind, RefusalReason>>> = {
 	[AnswerKind.NotRun]: RefusalReason.BackendRefused,
 	[AnswerKind.OtherInstance]: RefusalReason.BackendReplaced,
@@ -68,7 +63,6 @@
 export interface BackendCallDependencies {
 	readonly requestId: string;
 	readonly protocol: BackendProtocol;
-	readonly resets: ResetWatch;
 	readonly gate: WriteGate;
 	readonly listener: BackendCallListener;
 	/** Receives the result of the call; the body may still be streaming. */
@@ -78,20 +72,28 @@
 /** One request to the backend server. */
 export class BackendCall implements Dispatcher.DispatchHandler {
 	private controller: Dispatcher.DispatchController | undefined;
+	private connection: ConnectionEnds | undefined;
 	private gateReason: RefusalReason | undefined;
 	private isWritten = false;
 	private isEnded = false;
 	private isCanceled = false;
+	private hasConnectionEnded = false;
 	private status = 0;
 	private answerKind = AnswerKind.Answer;
 	private headers: HeaderList = [];
 	private readonly trailers: HeaderList = [];
-	private readonly chunks: Uint8Array[] = [];
-	private bufferedBytes = 0;
-	private stream: PassThrough | undefined;
+	private readonly blocks = new ByteBlocks();
+	private stream: AnswerStream | undefined;
 
 	constructor(private readonly deps: BackendCallDependencies) {}
 
+	/**
+	 * @param connection - connection that the request is about to be sent on.
+	 */
+	setConnection(connection: ConnectionEnds): void {
+		this.connection = connection;
+	}
+
 	// The undici library calls this in the same event loop turn in which it writes the first byte.
 	onRequestStart(controller: Dispatcher.DispatchController): void {
 		this.controller = controller;
@@ -133,9 +135,8 @@
 	// replaced by another attempt only while none of it has been forwarded.
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
 		if (!this.stream) {
-			this.chunks.push(chunk);
-			this.bufferedBytes += chunk.length;
-			if (this.bufferedBytes <= maxInlineBodyBytes) {
+			this.blocks.append(chunk);
+			if (this.blocks.length <= maxInlineBodyBytes) {
 				return;
 			}
 
@@ -143,24 +144,14 @@
 			return;
 		}
 
-		if (!this.stream.write(chunk)) {
-			controller.pause();
-		}
+		this.write(this.stream, chunk, controller);
 	}
 
 	onResponseEnd(controller: Dispatcher.DispatchController): void {
-		if (this.deps.resets.isResetting) {
-			this.onResponseError(
-				controller,
-				new ResetAnswerError('connection reset before the answer was complete'),
-			);
-			return;
-		}
-
 		this.trailers.push(...toHeaderList(controller.rawTrailers));
 		this.end({isFailure: this.status >= serverErrorStatus, isBroken: false});
 		if (this.stream) {
-			this.stream.end();
+			this.stream.complete();
 		} else {
 			this.deps.resolve(this.createResult());
 		}
@@ -190,10 +181,18 @@
 	}
 
 	private startStream(controller: Dispatcher.DispatchController): void {
-		const stream = new PassThrough({highWaterMark: maxInlineBodyBytes});
-		this.stream = stream;
-		stream.on('drain', () => {
+		const resume = () => {
 			controller.resume();
+		};
+
+		// In a microtask, as undici can't resume one connection while it reads from another.
+		const stream = new AnswerStream(() => {
+			queueMicrotask(resume);
+		});
+		this.stream = stream;
+		this.connection?.setAnswer(() => {
+			this.hasConnectionEnded = true;
+			resume();
 		});
 		stream.on('error', () => undefined);
 		stream.once('close', () => {
@@ -201,10 +200,8 @@
 				this.cancel();
 			}
 		});
-		for (const chunk of this.chunks.splice(0)) {
-			if (!stream.write(chunk)) {
-				controller.pause();
-			}
+		for (const chunk of this.blocks.takeAll()) {
+			this.write(stream, chunk, controller);
 		}
 
 		this.deps.resolve({
@@ -216,13 +213,24 @@
 		});
 	}
 
+	// A paused answer gets an empty chunk when it is resumed at the end of its connection.
+	private write(
+		stream: AnswerStream,
+		chunk: Uint8Array,
+		controller: Dispatcher.DispatchController,
+	): void {
+		if (!stream.write(chunk) && !this.hasConnectionEnded) {
+			controller.pause();
+		}
+	}
+
 	private createResult(): AttemptResult {
 		const notRun = notRunReasons[this.answerKind];
 		if (notRun !== undefined) {
 			return createRefused(notRun);
 		}
 
-		const bytes = concatBytes(this.chunks);
+		const bytes = this.blocks.joinAll();
 		return {
 			end: AttemptEnd.Answered,
 			status: this.status,
--- a/src/link/__tests__/unit/link-hub.test.ts
+++ b/src/link/__tests__/unit/link-hub.test.ts
@@ -1,3 +1,4 @@
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {afterEach, describe, expect, it} from 'vitest';
 import {AttemptState, Deadline, RefusalReason} from '../../../call/index.js';
 import {
@@ -16,6 +17,7 @@
 const ports = {near: 17_011, far: 17_012};
 const clock = new SystemClock();
 const hubs: LinkHub[] = [];
+let sequence = 0;
 
 function createIdentity(port: number, region: string): PeerIdentity {
 	return {id: `${address}:${port}`, instance: `i-${port}`, region};
@@ -45,8 +47,9 @@
 }
 
 function createAttempt(allowedRegions: readonly string[] | undefined): Attempt {
+	sequence += 1;
 	return {
-		id: {instance: 'i', sequence: 1},
+		id: {instance: 'i', sequence},
 		head: {
 			service: 's',
 			customer: '',
@@ -98,4 +101,34 @@
 		expect(await toFar.run(createAttempt(undefined))).toMatchObject({status: 200});
 		expect(arrived).toEqual([['one', 'two'], undefined]);
 	});
+
+	// Guards against a node that exits while answers wait in its links, as no call counts any more.
+	it('tells that answers have not been sent completely', async () => {
+		const runner: AttemptRunner = {
+			async run() {
+				const body = createBufferedBody(new Uint8Array(60_000));
+				return {end: AttemptEnd.Answered, status: 200, headers: [], body, load: undefined};
+			},
+		};
+		const near = await createHub(createIdentity(ports.near, 'one'), ports.near, runner);
+		const far = createIdentity(ports.far, 'one');
+		const farHub = await createHub(far, ports.far, runner);
+		let answers = 0;
+		const calls = Array.from({length: 400}, async () => {
+			await near.runnerTo(far.id).run(createAttempt(undefined));
+			answers += 1;
+		});
+		let isUnsentSeen = false;
+		while (answers < calls.length) {
+			await nextTurn();
+			const session = farHub.getSession(`${address}:${ports.near}`);
+			const isUnsent = (session?.link.backlog ?? 0) > 0;
+			isUnsentSeen ||= isUnsent && farHub.callsInFlight === 0;
+			expect(farHub.unsentLinks).toBe(isUnsent ? 1 : 0);
+		}
+
+		await Promise.all(calls);
+		expect(isUnsentSeen).toBe(true);
+		expect(farHub.unsentLinks).toBe(0);
+	});
 });
--- a/src/link/link-hub.ts
+++ b/src/link/link-hub.ts
@@ -221,6 +221,11 @@
 		return count;
 	}
 
+	/** Number of links that have not sent all their frames. */
+	get unsentLinks(): number {
+		return [...this.sessionsByLink.values()].filter(({link}) => link.backlog > 0).length;
+	}
+
 	private createSessionDelegate(): PeerSessionDelegate {
 		const {delegate, metrics} = this.deps;
 		return {
