--- a/scaffold/mesh/link-relay.ts
+++ b/scaffold/mesh/link-relay.ts
@@ -36,10 +36,13 @@
 		});
 	}
 
-	/** From now on nothing passes on the open connections, neither bytes nor their end; later ones work. */
-	silence(): void {
+	/**
+	 * From now on nothing passes on open connections, neither bytes nor their end; later ones work.
+	 * @param isChosen - whether a connection goes silent.
+	 */
+	silence(isChosen: () => boolean = () => true): void {
 		for (const connection of this.connections) {
-			connection.isSilent = true;
+			connection.isSilent ||= isChosen();
 		}
 	}
 
--- a/scaffold/mesh/mesh.ts
+++ b/scaffold/mesh/mesh.ts
@@ -222,15 +222,22 @@
 		await fetch(`http://${this.store}/stand-in/faults`, {method: 'POST', body});
 	}
 
-	/** Lets the open connections of all nodes to the store go silent; those that they open later work. */
-	async silenceStore(): Promise<void> {
-		await this.setStoreFaults({silenced: this.nodes.map(({address}) => address)});
-	}
-
-	/** Lets all links between nodes go silent; those that are opened later work. */
-	silenceLinks(): void {
+	/**
+	 * Lets open connections of all nodes to the store go silent; those that they open later work.
+	 * @param share - share of the connections, from 0 to 1.
+	 */
+	async silenceStore(share = 1): Promise<void> {
+		const silenced = this.nodes.map(({address}) => address);
+		await this.setStoreFaults({silenced, silencedShare: share});
+	}
+
+	/**
+	 * Lets links between nodes go silent; those that are opened later work.
+	 * @param isChosen - whether a link goes silent; all of them do by default.
+	 */
+	silenceLinks(isChosen?: () => boolean): void {
 		for (const {relay} of this.nodes) {
-			relay?.silence();
+			relay?.silence(isChosen);
 		}
 	}
 
--- a/scaffold/stand-ins/platform-store.ts
+++ b/scaffold/stand-ins/platform-store.ts
@@ -17,6 +17,8 @@
 	isHistoryLost: boolean;
 	/** Addresses of machines whose open connections go silent now; connections that they open later work. */
 	silenced: readonly string[];
+	/** Share of the open connections of these machines that go silent, from 0 to 1. */
+	silencedShare: number;
 }
 
 interface RowAddress {
@@ -63,6 +65,7 @@
 	refused: [],
 	isHistoryLost: false,
 	silenced: [],
+	silencedShare: 1,
 };
 const sockets = new Set<Socket>();
 const silentSockets = new WeakSet<Socket>();
@@ -222,17 +225,22 @@
 	Object.assign(faults, change);
 	if (faults.isHistoryLost) {
 		faults.isHistoryLost = false;
-		historyStart = version + 1;
+		historyStart = version;
 		history.length = 0;
 	}
 
-	for (const socket of sockets) {
-		if (faults.silenced.includes(socket.remoteAddress ?? '')) {
+	const concerned = [...sockets].filter((socket) =>
+		faults.silenced.includes(socket.remoteAddress ?? ''),
+	);
+	for (const [i, socket] of concerned.entries()) {
+		// Evenly over all of them, so that the share holds for few connections too.
+		if (Math.floor((i + 1) * faults.silencedShare) > Math.floor(i * faults.silencedShare)) {
 			silentSockets.add(socket);
 		}
 	}
 
 	faults.silenced = [];
+	faults.silencedShare = 1;
 }
 
 /** Goes back to the state at an earlier version, as a store does that is restored from a copy. */
