--- a/scaffold/soak.ts
+++ b/scaffold/soak.ts
@@ -1,10 +1,12 @@
 /**
- * Runs a soak with some seeds: `node dist/scaffold/soak.js [--stops [--nodes 8]] FIRST-SEED COUNT ROUNDS`. It changes the
- * configuration, or stops nodes as planned with `--stops`.
+ * Runs a soak with some seeds: `node dist/scaffold/soak.js [--stops [--nodes 8]] [--logs FOLDER] FIRST-SEED COUNT ROUNDS`.
+ * It changes the configuration, or stops nodes as planned with `--stops`.
  */
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
-import {ConfigurationSoak} from './mesh/configuration-soak.js';
+import {ConfigurationSoak, type SoakSize} from './mesh/configuration-soak.js';
 import {Mesh} from './mesh/mesh.js';
 import {SoakEnd, type SoakRequest} from './mesh/soak-request.js';
 import {StopSoak} from './mesh/stop-soak.js';
@@ -15,23 +17,31 @@
 	readonly notes: readonly string[];
 }
 
+/** With many zones every node reads the store; with few, most nodes learn of a change from others only. */
+const sizes: readonly SoakSize[] = [
+	{zones: 4, nodesPerZone: 2},
+	{zones: 2, nodesPerZone: 5},
+	{zones: 4, nodesPerZone: 3},
+];
+
 const {values, positionals} = parseArgs({
 	options: {
 		stops: {type: 'boolean', default: false},
 		nodes: {type: 'string', default: '8'},
+		logs: {type: 'string'},
 	},
 	allowPositionals: true,
 });
 
 async function soakConfiguration(mesh: Mesh, seed: number, rounds: number): Promise<SoakResult> {
-	const soak = new ConfigurationSoak(mesh, seed);
+	const soak = new ConfigurationSoak(mesh, seed, sizes[seed % sizes.length]);
 	await soak.open();
 	await soak.run(rounds);
 	const violations = soak.violations.map(({node, text, events}) => ({
 		text: `${node}: ${text}`,
 		events,
 	}));
-	return {violations, notes: []};
+	return {violations, notes: [`${soak.judged} answers judged`, soak.history.join(', ')]};
 }
 
 /** @returns how many requests were answered with each status, or ended otherwise. */
@@ -65,6 +75,16 @@
 	};
 }
 
+function keepLogs(mesh: Mesh, seed: number): void {
+	const folder = values.logs;
+	if (folder !== undefined) {
+		mkdirSync(folder, {recursive: true});
+		for (const node of mesh.nodes) {
+			writeFileSync(join(folder, `${seed}-${node.name}.log`), mesh.output(node));
+		}
+	}
+}
+
 const [first = 1, count = 1, rounds = 5] = positionals.map(Number);
 const soak = values.stops ? soakStops : soakConfiguration;
 let broken = 0;
@@ -72,6 +92,7 @@
 	const mesh = new Mesh(150 + (seed % 50));
 	try {
 		const {violations, notes} = await soak(mesh, seed, rounds);
+		keepLogs(mesh, seed);
 		broken += violations.length > 0 ? 1 : 0;
 		console.log(`seed ${seed}: ${violations.length} violations`);
 		for (const {text, events} of violations) {
