--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -36,6 +36,7 @@
 import type {RestoreListener, RowFeed, TableService} from '../store/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 import {pause} from '../util/index.js';
+import {depart} from './departure.js';
 import {explainRequest, parseExplainedRequest} from './explain.js';
 import {NodeCore, type NodeCoreHooks} from './node-core.js';
 import {registerOperatorRoutes} from './operator-routes.js';
@@ -285,20 +286,16 @@
 		this.ingress.refuseBeyond(until);
 		await this.core.waitUntilIdle(() => executor.callCount, until);
 		this.ingress.close();
-		const isClean = await this.core.waitUntilIdle(
+		await this.core.waitUntilIdle(
 			() => this.ingress.pendingCount + executor.callCount + hub.callsInFlight,
 			until,
 		);
-		gossip.updateLocalMember({phase: MemberPhase.Left});
-		gossip.flush();
-		await pause(clock, leaveNoticeTime);
-		// Requests that were read meanwhile were refused; their callers must get this.
-		this.ingress.closeConnections();
-		await this.core.waitUntilIdle(() => this.ingress.pendingCount, until + leaveNoticeTime);
-		const cut = this.ingress.reportRemaining();
+		const times = {notice: leaveNoticeTime, until};
+		const {cut, running} = await depart(this.core, this.ingress, times);
+		const isClean = cut + running === 0;
 		this.closeAll();
 		lifecycle.send({type: NodeEvent.Finished});
-		this.logger.log(isClean ? logEvents.nodeStopped : logEvents.nodeStopForced, {cut});
+		this.logger.log(isClean ? logEvents.nodeStopped : logEvents.nodeStopForced, {cut, running});
 		return isClean;
 	}
 
--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -24,6 +24,7 @@
 import {GuardedStore, type ObjectStore, type TableService} from '../store/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 import {pause} from '../util/index.js';
+import {depart} from './departure.js';
 import {NodeCore, type NodeCoreHooks} from './node-core.js';
 import {registerOperatorRoutes} from './operator-routes.js';
 
@@ -161,7 +162,7 @@
 		const until = this.clock.now() + this.settings.stopTimeout;
 		this.ingress.refuseBeyond(until);
 		this.ingress.close();
-		const isClean = await this.core.waitUntilIdle(
+		await this.core.waitUntilIdle(
 			() => this.ingress.pendingCount + executor.callCount + hub.callsInFlight,
 			until,
 		);
@@ -169,16 +170,12 @@
 			await this.keyOwners.handOver(this.keyedCalls.exportRecords());
 		}
 
-		gossip.updateLocalMember({phase: MemberPhase.Left});
-		gossip.flush();
-		await pause(this.clock, leaveNoticeTime);
-		// Requests that were read meanwhile were refused; their callers must get this.
-		this.ingress.closeConnections();
-		await this.core.waitUntilIdle(() => this.ingress.pendingCount, until + leaveNoticeTime);
-		const cut = this.ingress.reportRemaining();
+		const times = {notice: leaveNoticeTime, until};
+		const {cut, running} = await depart(this.core, this.ingress, times);
+		const isClean = cut + running === 0;
 		this.closeAll();
 		lifecycle.send({type: NodeEvent.Finished});
-		this.logger.log(isClean ? logEvents.nodeStopped : logEvents.nodeStopForced, {cut});
+		this.logger.log(isClean ? logEvents.nodeStopped : logEvents.nodeStopForced, {cut, running});
 		return isClean;
 	}
 
