--- a/scaffold/mesh/stop-checks.ts
+++ b/scaffold/mesh/stop-checks.ts
@@ -137,8 +137,10 @@
 		const isRun = runs.length > 0;
 		// A request that crosses an announced close is not read, unless it runs.
 		const isUnread = !req.isCloseAnnounced && this.earliest(endedAt) > wholeAt + unreadSlack;
+		const stop = this.stopAround(req);
 		const isCut = end === SoakEnd.Cut && (isRun || isUnread);
-		if (!isCut && !(isRun && isReplaced(req, runs))) {
+		// Elsewhere, a node may answer for a backend server whose node is gone, as that promises nothing.
+		if (!isCut && !(stop && isReplaced(req, runs))) {
 			return;
 		}
 
@@ -147,7 +149,6 @@
 			return;
 		}
 
-		const stop = this.stopAround(req);
 		if (!stop || !isExcused(req, runs, stop)) {
 			const kind = stop ? StopFinding.Lost : StopFinding.LostElsewhere;
 			const how = isCut ? 'was cut' : 'was answered by the node while it ran';
@@ -251,9 +252,11 @@
 	return `${bytes} bytes of a ${status ?? 'missing'} answer${announced}`;
 }
 
-/** Whether the node answered by itself while backend servers were at work. */
+/** Whether the node answered by itself while a backend server was at work. */
 function isReplaced({end, endedAt = 0, isSigned}: SoakRequest, runs: readonly SoakRun[]): boolean {
-	return end === SoakEnd.Answered && !isSigned && !runs.some((run) => isAnsweredBy(run, endedAt));
+	const isAtWork = runs.some(({startedAt}) => startedAt < endedAt);
+	const isDone = runs.some((run) => isAnsweredBy(run, endedAt));
+	return end === SoakEnd.Answered && !isSigned && isAtWork && !isDone;
 }
 
 /** Whether a backend server was still at work on an early request in the last part of the stop timeout. */
