--- a/scaffold/mesh/stop-checks.ts
+++ b/scaffold/mesh/stop-checks.ts
@@ -10,6 +10,8 @@
 	readonly at: number;
 	exitAt: number | undefined;
 	code: number | undefined;
+	/** When the node logged the end of its stop; on a busy machine its process may exist for a while longer. */
+	loggedAt: number | undefined;
 }
 
 /** Kinds of violations; stalls are counted apart. */
@@ -135,17 +137,17 @@
 		}
 
 		const isRun = runs.length > 0;
-		// A request that crosses an announced close is not read, unless it runs.
-		const isUnread = !req.isCloseAnnounced && this.earliest(endedAt) > wholeAt + unreadSlack;
+		// A request that crosses an announced close, or the exit of the process, is not read, unless it runs.
 		const stop = this.stopAround(req);
+		const isReadable = !req.isCloseAnnounced && wholeAt < (stop?.loggedAt ?? Infinity);
+		const isUnread = isReadable && this.earliest(endedAt) > wholeAt + unreadSlack;
 		const isCut = end === SoakEnd.Cut && (isRun || isUnread);
 		// Elsewhere, a node may answer for a backend server whose node is gone, as that promises nothing.
 		if (!isCut && !(stop && isReplaced(req, runs))) {
 			return;
 		}
 
-		// The end of an overdue answer closes the connection, also for the requests behind it.
-		if (req.behind && isOverdue(req.behind)) {
+		if (isBehindOverdue(req)) {
 			return;
 		}
 
@@ -243,6 +245,11 @@
 	return (req.endedAt ?? 0) >= overAtOf(req) - deadlineSlack;
 }
 
+/** Whether the end of an overdue answer closed the connection while the request waited behind it. */
+function isBehindOverdue({behind}: SoakRequest): boolean {
+	return behind !== undefined && isOverdue(behind);
+}
+
 function isAnsweredBy({answeredAt}: SoakRun, at: number): boolean {
 	return answeredAt !== undefined && answeredAt <= at;
 }
--- a/scaffold/mesh/stop-soak.ts
+++ b/scaffold/mesh/stop-soak.ts
@@ -80,6 +80,11 @@
 	return {prefix: `/${first}/`, kind, timeout: usualTimeout};
 }
 
+/** @returns the time of a log event, as of `performance.now()`. */
+function timeOf({timestamp}: Readonly<Record<string, unknown>>): number {
+	return Date.parse(String(timestamp)) - performance.timeOrigin;
+}
+
 function routesOf(version: number): MeshRoute[] {
 	const moved = services[version % services.length]!;
 	const spanTimeout = version % 2 === 0 ? usualTimeout : shortTimeout;
@@ -282,7 +287,13 @@
 		const termAt = performance.now() + calmTime;
 		const timed = this.sendTimed(node, random, termAt);
 		await sleep(termAt - performance.now());
-		const stop: PlannedStop = {node, at: performance.now(), exitAt: undefined, code: undefined};
+		const stop: PlannedStop = {
+			node,
+			at: performance.now(),
+			exitAt: undefined,
+			code: undefined,
+			loggedAt: undefined,
+		};
 		this.stops.push(stop);
 		this.note(
 			`SIGTERM ${node.name}${isQuiet ? ', quiet' : ''}${leavesFirst ? ', server left' : ''}`,
@@ -313,6 +324,10 @@
 
 		stop.code = await ended;
 		stop.exitAt = performance.now();
+		const end = mesh.log(node).findLast(({number}) => number === 103 || number === 105);
+		const loggedAt = end ? timeOf(end) : 0;
+		// An older event is that of an earlier stop.
+		stop.loggedAt = loggedAt > stop.at ? loggedAt : undefined;
 		for (const timer of timers) {
 			clearTimeout(timer);
 		}
@@ -452,7 +467,7 @@
 		const numbers = id === undefined ? processEvents : stopEvents;
 		for (const item of this.mesh.nodes) {
 			for (const event of this.mesh.log(item)) {
-				const at = Date.parse(String(event.timestamp)) - performance.timeOrigin;
+				const at = timeOf(event);
 				const isNear = at > from - stopTimeout && at < to + stopTimeout;
 				const isOfProcess = item === node && numbers.has(event.number) && isNear;
 				const text = JSON.stringify({...event, level: undefined, message: undefined});
