--- a/scaffold/mesh/stop-checks.ts
+++ b/scaffold/mesh/stop-checks.ts
@@ -10,6 +10,8 @@
 	readonly at: number;
 	exitAt: number | undefined;
 	code: number | undefined;
+	/** When the node logged the end of its stop; on a busy machine its process may exist for a while longer. */
+	loggedAt: number | undefined;
 }
 
 /** Kinds of violations; stalls are counted apart. */
@@ -135,19 +137,20 @@
 		}
 
 		const isRun = runs.length > 0;
-		// A request that crosses an announced close is not read, unless it runs.
-		const isUnread = !req.isCloseAnnounced && this.earliest(endedAt) > wholeAt + unreadSlack;
+		// A request that crosses an announced close, or the exit of the process, is not read, unless it runs.
+		const stop = this.stopAround(req);
+		const isReadable = !req.isCloseAnnounced && wholeAt < (stop?.loggedAt ?? Infinity);
+		const isUnread = isReadable && this.earliest(endedAt) > wholeAt + unreadSlack;
 		const isCut = end === SoakEnd.Cut && (isRun || isUnread);
-		if (!isCut && !(isRun && isReplaced(req, runs))) {
+		// Elsewhere, a node may answer for a backend server whose node is gone, as that promises nothing.
+		if (!isCut && !(stop && isReplaced(req, runs))) {
 			return;
 		}
 
-		// The end of an overdue answer closes the connection, also for the requests behind it.
-		if (req.behind && isOverdue(req.behind)) {
+		if (isBehindOverdue(req)) {
 			return;
 		}
 
-		const stop = this.stopAround(req);
 		if (!stop || !isExcused(req, runs, stop)) {
 			const kind = stop ? StopFinding.Lost : StopFinding.LostElsewhere;
 			const how = isCut ? 'was cut' : 'was answered by the node while it ran';
@@ -242,6 +245,11 @@
 	return (req.endedAt ?? 0) >= overAtOf(req) - deadlineSlack;
 }
 
+/** Whether the end of an overdue answer closed the connection while the request waited behind it. */
+function isBehindOverdue({behind}: SoakRequest): boolean {
+	return behind !== undefined && isOverdue(behind);
+}
+
 function isAnsweredBy({answeredAt}: SoakRun, at: number): boolean {
 	return answeredAt !== undefined && answeredAt <= at;
 }
@@ -251,9 +259,11 @@
 	return `${bytes} bytes of a ${status ?? 'missing'} answer${announced}`;
 }
 
-/** Whether the node answered by itself while backend servers were at work. */
+/** Whether the node answered by itself while a backend server was at work. */
 function isReplaced({end, endedAt = 0, isSigned}: SoakRequest, runs: readonly SoakRun[]): boolean {
-	return end === SoakEnd.Answered && !isSigned && !runs.some((run) => isAnsweredBy(run, endedAt));
+	const isAtWork = runs.some(({startedAt}) => startedAt < endedAt);
+	const isDone = runs.some((run) => isAnsweredBy(run, endedAt));
+	return end === SoakEnd.Answered && !isSigned && isAtWork && !isDone;
 }
 
 /** Whether a backend server was still at work on an early request in the last part of the stop timeout. */
