Stop: refuse what is not passed on only once nothing is in flight

The refusals of a leaving node began when its ingress closed.

The refusals begin in the turn in which nothing is found in flight. Before that, connections accepted just before the close have 50 ms for their first requests, by which each stop is longer.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -113,7 +113,7 @@
 	private readonly bodyMemory: BodyMemory;
 	private isDraining = false;
 	/** Whether requests that are not passed on yet are refused. */
-	private isClosed = false;
+	private isRefusing = false;
 	/** Time by which the calls that are accepted must end; undefined while the node is not about to leave. */
 	private leavesAt: Millis | undefined;
 
@@ -203,12 +203,8 @@
 		Object.assign(this.server, {maxHeaderSize: Math.max(defaultMaxHeaderBytes, bytes)});
 	}
 
-	/**
-	 * Stops accepting connections, closes idle ones, and refuses each request that has not been passed on. Connections on
-	 * which nothing was read, or the part of a head, are not idle.
-	 */
+	/** Stops accepting connections and closes idle ones; those on which nothing was read, or the part of a head, are not. */
 	close(): void {
-		this.isClosed = true;
 		// The HTTP server would destroy each connection whose last answer is written, also when it has not taken all of it.
 		NetServer.prototype.close.call(this.server);
 		for (const connection of this.connections.values()) {
@@ -216,6 +212,11 @@
 		}
 	}
 
+	/** Refuses each request that has not been passed on: the node has found that nothing is in flight, and leaves. */
+	refuseAll(): void {
+		this.isRefusing = true;
+	}
+
 	/** Closes the remaining connections behind their last answers; what they still send is not read as requests. */
 	closeConnections(): void {
 		for (const connection of this.connections.values()) {
@@ -324,7 +325,7 @@
 	}
 
 	private requireOpen(): void {
-		if (this.isClosed) {
+		if (this.isRefusing) {
 			throw new RefusedRequestError(RefusalReason.Draining);
 		}
 	}
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -82,6 +82,8 @@
 const readinessLingerTime: Millis = 2.6 * second;
 /** Final part of the linger time in which a stopping node accepts no calls from peers; most calls are shorter. */
 const executorDrainTime: Millis = 0.8 * second;
+/** Time for the first requests on connections that were accepted just before the ingress closed. */
+const firstRequestTime: Millis = 50;
 /** Part of the stop timeout that is reserved for announcing that the node has left. */
 const stopReserve: Millis = 0.7 * second;
 /** How long a node with a configuration waits for peers before it accepts calls without any. */
@@ -285,10 +287,12 @@
 		this.ingress.refuseBeyond(until);
 		await this.core.waitUntilIdle(() => executor.callCount, until);
 		this.ingress.close();
+		await pause(clock, firstRequestTime);
 		const isClean = await this.core.waitUntilIdle(
 			() => this.ingress.pendingCount + executor.callCount + hub.callsInFlight,
 			until,
 		);
+		this.ingress.refuseAll();
 		gossip.updateLocalMember({phase: MemberPhase.Left});
 		gossip.flush();
 		await pause(clock, leaveNoticeTime);
--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -32,6 +32,8 @@
 const readyPollPeriod: Millis = 50;
 /** Time for the last gossip messages to be sent before the sockets close. */
 const leaveNoticeTime: Millis = 300;
+/** Time for the first requests on connections that were accepted just before the ingress closed. */
+const firstRequestTime: Millis = 50;
 /** How long a stopping node still accepts calls while callers and peers learn that it leaves. */
 const lingerTime: Millis = second;
 /** Bursts of further attempts that one node can save up per service. */
@@ -161,10 +163,12 @@
 		const until = this.clock.now() + this.settings.stopTimeout;
 		this.ingress.refuseBeyond(until);
 		this.ingress.close();
+		await pause(this.clock, firstRequestTime);
 		const isClean = await this.core.waitUntilIdle(
 			() => this.ingress.pendingCount + executor.callCount + hub.callsInFlight,
 			until,
 		);
+		this.ingress.refuseAll();
 		if (this.keyedCalls.size > 0) {
 			await this.keyOwners.handOver(this.keyedCalls.exportRecords());
 		}
