--- a/src/wiring/departure.ts
+++ b/src/wiring/departure.ts
@@ -20,6 +20,26 @@
 	readonly until: Millis;
 }
 
+/** Time for the first requests on connections that were accepted just before the ingress closed. */
+const firstRequestTime: Millis = 50;
+
+/**
+ * Closes the ingress and waits until nothing is in flight. From then on no request becomes a call.
+ * @param core - the parts of the node.
+ * @param ingress - the ingress.
+ * @param until - monotonic time in ms up to which calls may end.
+ */
+export async function closeIngress(core: NodeCore, ingress: Ingress, until: Millis): Promise<void> {
+	const {clock, hub, executor} = core;
+	ingress.close();
+	await pause(clock, firstRequestTime);
+	await core.waitUntilIdle(
+		() => ingress.pendingCount + executor.callCount + hub.callsInFlight,
+		until,
+	);
+	ingress.refuseAll();
+}
+
 /**
  * Announces that the node has left, once its ingress is closed, and waits until callers and peers have taken what they
  * still get.
--- a/src/wiring/routed-node.ts
+++ b/src/wiring/routed-node.ts
@@ -36,7 +36,7 @@
 import type {RestoreListener, RowFeed, TableService} from '../store/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 import {pause} from '../util/index.js';
-import {depart} from './departure.js';
+import {closeIngress, depart} from './departure.js';
 import {explainRequest, parseExplainedRequest} from './explain.js';
 import {NodeCore, type NodeCoreHooks} from './node-core.js';
 import {registerOperatorRoutes} from './operator-routes.js';
@@ -285,11 +285,7 @@
 		// While the backend server runs calls, it may make calls of its own through this ingress.
 		this.ingress.refuseBeyond(until);
 		await this.core.waitUntilIdle(() => executor.callCount, until);
-		this.ingress.close();
-		await this.core.waitUntilIdle(
-			() => this.ingress.pendingCount + executor.callCount + hub.callsInFlight,
-			until,
-		);
+		await closeIngress(this.core, this.ingress, until);
 		const times = {notice: leaveNoticeTime, until};
 		const {cut, running} = await depart(this.core, this.ingress, times);
 		const isClean = cut + running === 0;
--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -24,7 +24,7 @@
 import {GuardedStore, type ObjectStore, type TableService} from '../store/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 import {pause} from '../util/index.js';
-import {depart} from './departure.js';
+import {closeIngress, depart} from './departure.js';
 import {NodeCore, type NodeCoreHooks} from './node-core.js';
 import {registerOperatorRoutes} from './operator-routes.js';
 
@@ -161,11 +161,7 @@
 		await pause(this.clock, lingerTime);
 		const until = this.clock.now() + this.settings.stopTimeout;
 		this.ingress.refuseBeyond(until);
-		this.ingress.close();
-		await this.core.waitUntilIdle(
-			() => this.ingress.pendingCount + executor.callCount + hub.callsInFlight,
-			until,
-		);
+		await closeIngress(this.core, this.ingress, until);
 		if (this.keyedCalls.size > 0) {
 			await this.keyOwners.handOver(this.keyedCalls.exportRecords());
 		}
