Use links that open late for the content of a configuration

A peer that needed more than 0.4 s to open a link, as on an overloaded machine, was given up for the round although its link opened then.

A question now goes on until its link or its reply times out, the next round starts without waiting for it, and a peer that still has a question is not asked again.

Red before: "uses links that overloaded peers open late": expected Infinity to be less than or equal to 650.

--- a/src/control/__tests__/unit/content-fetcher.test.ts
+++ b/src/control/__tests__/unit/content-fetcher.test.ts
@@ -10,6 +10,7 @@
 import {createLocalMember} from '../../../membership/index.js';
 import {createTestGossip} from '../../../membership/__tests__/test-gossip.js';
 import {createRandom} from '../../../random/index.js';
+import {pause} from '../../../util/index.js';
 import {ContentFetcher} from '../../content-fetcher.js';
 
 const applyBound = 2000;
@@ -26,8 +27,8 @@
 	// The fetcher stops waiting for it.
 });
 
-/** Asks until the content is held or all peers were asked; the peers without an answer are silent. */
-async function fetchFrom(answers: ReadonlyMap<string, string>, seed: number) {
+/** Asks for one round; the peers without an answer are silent. */
+async function fetchFrom(answers: ReadonlyMap<string, string>, seed: number, linkDelay = 0) {
 	const clock = new ManualClock(1000);
 	const revisions = new RevisionTracker();
 	revisions.merge({accepted: 7, acceptedHash: hash, staged: 0, stagedHash: ''});
@@ -50,6 +51,10 @@
 				return neverOpened;
 			}
 
+			if (linkDelay > 0) {
+				await pause(clock, linkDelay);
+			}
+
 			return {
 				fetchContent: async () => ({content: answer, delta: undefined}),
 			} as unknown as PeerSession;
@@ -71,7 +76,7 @@
 		state.isOver = true;
 	});
 	const start = clock.now();
-	while (!state.isOver && clock.now() - start < 10 * applyBound) {
+	while (clock.now() - start < 2 * applyBound) {
 		await new Promise((resolve) => {
 			setImmediate(resolve);
 		});
@@ -102,6 +107,13 @@
 		expect(asked).toEqual([reporter]);
 	});
 
+	it('uses links that overloaded peers open late', async () => {
+		const linkDelay = 0.3 * applyBound;
+		const all = [...sameRegion, otherRegion];
+		const {time} = await fetchFrom(new Map(all.map((id) => [id, content])), 1, linkDelay);
+		expect(time).toBeLessThanOrEqual(linkDelay + 50);
+	});
+
 	it('ends when no peer answers, so that the next round can ask others', async () => {
 		const {time, isOver} = await fetchFrom(new Map(), 1);
 		expect({time, isOver}).toEqual({time: Infinity, isOver: true});
--- a/src/control/content-fetcher.ts
+++ b/src/control/content-fetcher.ts
@@ -31,12 +31,16 @@
 const patienceShare = 0.1;
 /** Share of the time to apply a change after which the next peer is asked while one has not answered. */
 const staggerShare = 0.05;
+/** The same, after which other peers may be asked while none of the first ones has answered. */
+const roundShare = 0.1;
 /** Time since the last frame from a peer up to which its link is used without a check. */
 const maxQuiet: Millis = 200;
 
 /** Fetches the contents of configuration revisions that this node knows of but does not have. */
 export class ContentFetcher {
 	private readonly fetching = new Set<string>();
+	/** Questions without an answer so far, as peer and hash. */
+	private readonly pending = new Set<string>();
 
 	constructor(private readonly deps: ContentFetcherDependencies) {}
 
@@ -55,13 +59,11 @@
 		this.fetching.add(hash);
 		try {
 			const content = await this.deps.readFromStore(hash);
-			if (content !== undefined) {
+			if (content === undefined) {
+				await this.fetchFromPeers(hash, reporter);
+			} else {
 				revisions.addContent(hash, content);
-			}
-
-			if (content !== undefined || (await this.fetchFromPeers(hash, reporter))) {
-				logger.log(logEvents.revisionHeld, {hash, teller: reporter});
-				this.deps.contentAdded();
+				this.recordHeld(hash, reporter);
 			}
 		} catch (err) {
 			logger.log(logEvents.revisionRejected, {hash, error: String(err)});
@@ -71,50 +73,54 @@
 	}
 
 	// The next peer is asked as soon as one has nothing to give, or has not answered for a short time: over silent links
-	// and from peers that stop or are overloaded, one answer after the other took longer than a change may take.
-	private async fetchFromPeers(hash: string, reporter: string | undefined): Promise<boolean> {
+	// and from peers that stop or are overloaded, one answer after the other took longer than a change may take. An
+	// answer that comes later is still used.
+	private async fetchFromPeers(hash: string, reporter: string | undefined): Promise<void> {
 		const {gossip, clock, applyBound, revisions} = this.deps;
 		const self = gossip.localMember;
-		const questions: Array<Promise<boolean>> = [];
+		const questions: Array<Promise<void>> = [];
 		for (const id of this.candidatePeers(reporter)) {
-			if (id === self.id) {
+			if (id === self.id || this.pending.has(`${id} ${hash}`)) {
 				continue;
 			}
 
-			const question = this.askPeer(id, hash);
+			const question = this.askPeer(id, hash, reporter);
 			questions.push(question);
-			const patience = pause(clock, applyBound * staggerShare).then(() => false);
 			// eslint-disable-next-line no-await-in-loop
-			const isHeld = await Promise.race([question, patience]);
-			if (isHeld || !revisions.missing().includes(hash)) {
-				return true;
+			await Promise.race([question, pause(clock, applyBound * staggerShare)]);
+			if (!revisions.missing().includes(hash)) {
+				return;
 			}
 		}
 
-		return isAnyTrue(questions);
+		await Promise.race([Promise.all(questions), pause(clock, applyBound * roundShare)]);
 	}
 
-	private async askPeer(id: string, hash: string): Promise<boolean> {
+	private async askPeer(id: string, hash: string, reporter: string | undefined): Promise<void> {
+		const {hub, applyBound, logger, revisions} = this.deps;
+		const key = `${id} ${hash}`;
+		this.pending.add(key);
 		try {
-			const session = await this.connect(id);
-			const isWanted = this.deps.revisions.missing().includes(hash);
-			return session !== undefined && (!isWanted || (await this.fetchFrom(session, hash)));
+			const session = await hub.connectAlive(id, maxQuiet, applyBound * patienceShare);
+			const isWanted = revisions.missing().includes(hash);
+			if (session && isWanted && (await this.fetchFrom(session, hash))) {
+				this.recordHeld(hash, reporter);
+			}
 		} catch (err) {
-			this.deps.logger.log(logEvents.revisionRejected, {hash, peer: id, error: String(err)});
-			return false;
+			logger.log(logEvents.revisionRejected, {hash, peer: id, error: String(err)});
+		} finally {
+			this.pending.delete(key);
 		}
 	}
 
-	// A peer that cannot be reached must not hold up the question to the next one.
-	private async connect(id: string): Promise<PeerSession | undefined> {
-		const {hub, clock, applyBound} = this.deps;
-		const patience = applyBound * patienceShare;
-		const session = hub.connectAlive(id, maxQuiet, patience);
-		return Promise.race([session, pause(clock, 2 * patience).then(() => undefined)]);
+	private recordHeld(hash: string, reporter: string | undefined): void {
+		this.deps.logger.log(logEvents.revisionHeld, {hash, teller: reporter});
+		this.deps.contentAdded();
 	}
 
 	// A full content of many routes takes a narrow link longer than a configuration may take to be in force, so a
 	// delta is asked for first. The hash shows whether it makes the requested content.
+	/** @returns whether the peer's answer was added. */
 	private async fetchFrom(session: PeerSession, hash: string): Promise<boolean> {
 		const {revisions} = this.deps;
 		const base = revisions.heldHash;
@@ -122,7 +128,11 @@
 		let reply = await session.fetchContent(hash, base === '' ? undefined : base);
 		if (reply.delta !== undefined) {
 			// Meanwhile the content may have come another way, or a newer revision may have taken its place.
-			if (!isMissing() || this.tryAddDelta(hash, base, reply.delta)) {
+			if (!isMissing()) {
+				return false;
+			}
+
+			if (this.tryAddDelta(hash, base, reply.delta)) {
 				return true;
 			}
 
@@ -130,7 +140,7 @@
 		}
 
 		if (reply.content === undefined || !isMissing()) {
-			return !isMissing();
+			return false;
 		}
 
 		revisions.addContent(hash, reply.content);
@@ -165,15 +175,3 @@
 		return [...new Set([...(reporter === undefined ? [] : [reporter]), ...sampled])];
 	}
 }
-
-async function isAnyTrue(results: ReadonlyArray<Promise<boolean>>): Promise<boolean> {
-	const waits = results.map(async (result) => {
-		if (!(await result)) {
-			throw new Error('not held');
-		}
-	});
-	return Promise.any(waits).then(
-		() => true,
-		() => false,
-	);
-}
