--- a/src/wiring/turmeric-node.ts
+++ b/src/wiring/turmeric-node.ts
@@ -150,7 +150,7 @@
 	}
 
 	private async leave(): Promise<boolean> {
-		const {lifecycle, backend, gossip, hub, executor} = this.core;
+		const {lifecycle, backend, gossip, hub} = this.core;
 		lifecycle.send({type: NodeEvent.StopRequested});
 		this.logger.log(logEvents.nodeDraining);
 		backend.drainNode();
