Keep the blocks of a streamed answer in order

AnswerStream pushed the end of the stream within a read. The stream class reports that at once, so that the sender of a link took the next block before its present read had returned. The end is now pushed in a later tick.

Red before: answer-stream.test.ts "passes bytes on in order at any speed", trial 1, 18137 bytes, credit.

--- a/src/executor/answer-stream.ts
+++ b/src/executor/answer-stream.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {Readable} from 'node:stream';
 import {maxInlineBodyBytes} from '../exchange/index.js';
 import {ByteBlocks} from './byte-blocks.js';
@@ -60,7 +61,10 @@
 
 		if (this.isComplete && this.held.length === 0) {
 			this.isEndPushed = true;
-			this.push(null);
+			// The stream reports its end at once: a reader would take the next bytes before its present read returns.
+			process.nextTick(() => {
+				this.push(null);
+			});
 		}
 	}
 }
