--- a/src/executor/answer-stream.ts
+++ b/src/executor/answer-stream.ts
@@ -1,6 +1,6 @@
 import {Readable} from 'node:stream';
 import {maxInlineBodyBytes} from '../exchange/index.js';
-import {ByteBlocks} from './byte-blocks.js';
+import {ByteBlocks} from '../util/index.js';
 
 /** Body of an answer that is read while it arrives. What its reader has not taken is held in blocks. */
 export class AnswerStream extends Readable {
--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -9,6 +9,7 @@
 	maxInlineBodyBytes,
 	type AttemptResult,
 } from '../exchange/index.js';
+import {ByteBlocks} from '../util/index.js';
 import {AnswerStream} from './answer-stream.js';
 import {
 	AnswerKind,
@@ -16,7 +17,6 @@
 	type BackendNotice,
 	type BackendProtocol,
 } from './backend-protocol.js';
-import {ByteBlocks} from './byte-blocks.js';
 import type {ConnectionEnds} from './connection-ends.js';
 import {hasHeader, stripHeaders} from './headers.js';
 
--- a/src/executor/byte-blocks.ts
+++ b/src/util/byte-blocks.ts
@@ -1,4 +1,4 @@
-import {concatBytes} from '../util/index.js';
+import {concatBytes} from './bytes.js';
 
 /** Size of the first block; most answers fit. */
 const minBlockBytes = 1024;
--- a/src/util/index.ts
+++ b/src/util/index.ts
@@ -1,3 +1,4 @@
+export {ByteBlocks} from './byte-blocks.js';
 export {concatBytes} from './bytes.js';
 export {hash32, hash48, hashBytes, rendezvous} from './hash.js';
 export {InvariantError, invariant} from './invariant.js';
