Executor: push the end of an answer only behind its last byte

Callers could get an answer with its bytes in the wrong order; no run has shown it in whole nodes. The end that AnswerStream.read pushed made the stream emit 'readable' at once, and the reader took later bytes before the read under way had returned earlier ones.

Test red before: the bytes read differ from those written. The end now follows once no byte is left that could overtake.

--- a/src/executor/answer-stream.ts
+++ b/src/executor/answer-stream.ts
@@ -58,7 +58,8 @@
 			this.onDrained();
 		}
 
-		if (this.isComplete && this.held.length === 0) {
+		// While bytes are left, the end would make the reader take them before the `read` that is under way returns.
+		if (this.isComplete && this.held.length === 0 && this.readableLength === 0) {
 			this.isEndPushed = true;
 			this.push(null);
 		}
