--- a/src/executor/__tests__/unit/answer-stream.test.ts
+++ b/src/executor/__tests__/unit/answer-stream.test.ts
@@ -122,4 +122,18 @@
 			expect(isEqual, `seed ${seed}, trial ${i}, ${size} bytes, ${kind}`).toBe(true);
 		}
 	});
+
+	// Guards against bytes that overtake earlier ones when the answer is complete before it is read.
+	it('passes bytes on in order when the answer is complete before it is read', async () => {
+		const bytes = bytesOf(200_000);
+		const stream = new AnswerStream(() => undefined);
+		for (let at = 0; at < bytes.length; at += 1000) {
+			stream.write(bytes.subarray(at, at + 1000));
+		}
+
+		stream.complete();
+		const taken: Buffer[] = [];
+		await readWithCredit(stream, taken, createRandom(1));
+		expect(Buffer.concat(taken).equals(bytes)).toBe(true);
+	});
 });
--- a/src/executor/answer-stream.ts
+++ b/src/executor/answer-stream.ts
@@ -1,7 +1,6 @@
-import process from 'node:process';
 import {Readable} from 'node:stream';
 import {maxInlineBodyBytes} from '../exchange/index.js';
-import {ByteBlocks} from './byte-blocks.js';
+import {ByteBlocks} from '../util/index.js';
 
 /** Body of an answer that is read while it arrives. What its reader has not taken is held in blocks. */
 export class AnswerStream extends Readable {
@@ -59,12 +58,10 @@
 			this.onDrained();
 		}
 
-		if (this.isComplete && this.held.length === 0) {
+		// While bytes are left, the end would make the reader take them before the `read` that is under way returns.
+		if (this.isComplete && this.held.length === 0 && this.readableLength === 0) {
 			this.isEndPushed = true;
-			// The stream reports its end at once: a reader would take the next bytes before its present read returns.
-			process.nextTick(() => {
-				this.push(null);
-			});
+			this.push(null);
 		}
 	}
 }
