Tests: a network of its own for the soak of stops

tests/stop-soak.test.ts and tests/large-answers.test.ts used the same addresses, so that in whole runs the soak waited for nodes that were not its own and did not end within 90 s (twice); alone it ended in 33 s on the same code, with no violation.

--- a/tests/stop-soak.test.ts
+++ b/tests/stop-soak.test.ts
@@ -3,7 +3,7 @@
 import {StopSoak} from '../scaffold/mesh/stop-soak.js';
 
 const seed = 20_261_205;
-const mesh = new Mesh(64);
+const mesh = new Mesh(68);
 
 afterAll(async () => {
 	await mesh.stop();
