Executor: log how the body of an answer ended, and answers within it

Event 205 tells framing, bytes and the state of the connection at the end of the body. Event 219 and turmeric_answers_spoiled_total name a body without the mark of its end, with an unrequested transfer coding, or with the head of an answer to another request of its connection, whose id it tells. What callers get is unchanged.

--- /dev/null
+++ b/src/executor/answer-check.ts
@@ -0,0 +1,124 @@
+import {headerValue} from './headers.js';
+import {AnswerScanner} from './answer-scanner.js';
+import type {AnswerHead, BackendProtocol} from './backend-protocol.js';
+import {BodyFraming, readFraming} from './body-framing.js';
+import {ConnectionState} from './connection-ends.js';
+
+/** Why the body of an answer is not the whole body, or not only that. */
+export enum AnswerDefect {
+	/** What marks its end has not come. */
+	Cut = 'cut',
+	/** It has a transfer coding that was not requested. */
+	Coding = 'coding',
+	/** It contains another answer. */
+	SecondAnswer = 'second-answer',
+}
+
+/** How the body of an answer has ended, for the log. */
+export interface AnswerReport {
+	readonly status: number;
+	readonly framing: BodyFraming;
+	/** Bytes of the body that were received. */
+	readonly bytes: number;
+	/** State of the connection at the end of the body. */
+	readonly connection: ConnectionState;
+	/** Undefined if the body is whole. */
+	readonly defect: AnswerDefect | undefined;
+	/** Id of the request to which an answer within the body belongs; undefined if there is none. */
+	readonly otherRequest: string | undefined;
+}
+
+export interface AnswerCheckDependencies {
+	readonly protocol: Pick<BackendProtocol, 'readRequestId'>;
+	readonly method: string;
+	/** Ids of the requests that were sent on the connection. */
+	readonly carriedIds: ReadonlySet<string>;
+}
+
+/** Decides whether what was received of an answer is its whole body and nothing else. */
+export class AnswerCheck {
+	private readonly framing: BodyFraming;
+	private readonly status: number;
+	private readonly length: number;
+	private readonly scanner: AnswerScanner;
+	private bytes = 0;
+	private otherRequest: string | undefined;
+
+	constructor({status, headers}: AnswerHead, deps: AnswerCheckDependencies) {
+		const {protocol, method, carriedIds} = deps;
+		this.status = status;
+		this.framing = readFraming(method, status, headers);
+		this.length = Number(headerValue(headers, 'content-length'));
+		this.scanner = new AnswerScanner((list) => protocol.readRequestId(list), carriedIds);
+	}
+
+	/** Whether the body contains the head of another answer. */
+	get hasSecondAnswer(): boolean {
+		return this.otherRequest !== undefined;
+	}
+
+	/**
+	 * @param chunk - next bytes of the body.
+	 */
+	add(chunk: Uint8Array): void {
+		this.bytes += chunk.length;
+		this.otherRequest ??= this.scanner.scan(chunk);
+	}
+
+	/**
+	 * Records that this is an answer to another request.
+	 * @param id - id of that request.
+	 */
+	addOther(id: string | undefined): void {
+		this.otherRequest ??= id;
+	}
+
+	/**
+	 * @param connection - state of the connection.
+	 * @returns why the body is not whole if it ends now; undefined if it is whole.
+	 */
+	defect(connection: ConnectionState): AnswerDefect | undefined {
+		if (this.hasSecondAnswer) {
+			return AnswerDefect.SecondAnswer;
+		}
+
+		if (this.framing === BodyFraming.Unknown) {
+			return AnswerDefect.Coding;
+		}
+
+		return this.isEndMarked(connection) ? undefined : AnswerDefect.Cut;
+	}
+
+	/**
+	 * @param connection - state of the connection at the end of the body.
+	 * @returns how the body has ended.
+	 */
+	report(connection: ConnectionState): AnswerReport {
+		const {status, framing, bytes, otherRequest} = this;
+		return {status, framing, bytes, connection, defect: this.defect(connection), otherRequest};
+	}
+
+	private isEndMarked(connection: ConnectionState): boolean {
+		switch (this.framing) {
+			case BodyFraming.None: {
+				return true;
+			}
+
+			case BodyFraming.Length: {
+				return this.bytes === this.length;
+			}
+
+			case BodyFraming.Chunks: {
+				return connection === ConnectionState.Open;
+			}
+
+			case BodyFraming.Connection: {
+				return connection === ConnectionState.Ended;
+			}
+
+			case BodyFraming.Unknown: {
+				return false;
+			}
+		}
+	}
+}
--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -10,6 +10,7 @@
 	type AttemptResult,
 } from '../exchange/index.js';
 import {ByteBlocks} from '../util/index.js';
+import {AnswerCheck, type AnswerReport} from './answer-check.js';
 import {AnswerStream} from './answer-stream.js';
 import {
 	AnswerKind,
@@ -17,7 +18,7 @@
 	type BackendNotice,
 	type BackendProtocol,
 } from './backend-protocol.js';
-import type {ConnectionEnds} from './connection-ends.js';
+import {ConnectionState, type ConnectionEnds} from './connection-ends.js';
 import {hasHeader, stripHeaders} from './headers.js';
 
 /** Checks whether a request may still be sent, immediately before its first byte is written. */
@@ -31,6 +32,8 @@
 	readonly isFailure: boolean;
 	/** Whether the connection was lost before the answer was complete. */
 	readonly isBroken: boolean;
+	/** How the body of the answer ended; undefined if there was no answer to the request. */
+	readonly answer?: AnswerReport | undefined;
 }
 
 /** Receives the events of a call to the backend server. */
@@ -62,6 +65,7 @@
 
 export interface BackendCallDependencies {
 	readonly requestId: string;
+	readonly method: string;
 	readonly protocol: BackendProtocol;
 	readonly gate: WriteGate;
 	readonly listener: BackendCallListener;
@@ -84,6 +88,7 @@
 	private readonly trailers: HeaderList = [];
 	private readonly blocks = new ByteBlocks();
 	private stream: AnswerStream | undefined;
+	private check: AnswerCheck | undefined;
 
 	constructor(private readonly deps: BackendCallDependencies) {}
 
@@ -100,6 +105,7 @@
 		this.gateReason = this.isCanceled ? RefusalReason.DeadlinePassed : this.deps.gate.check();
 		if (this.gateReason === undefined) {
 			this.isWritten = true;
+			this.connection?.recordRequest(this.deps.requestId);
 		} else {
 			controller.abort(new AbortedError('request refused before its first byte was written'));
 		}
@@ -116,7 +122,9 @@
 			{status, headers: this.headers},
 			this.deps.requestId,
 		);
+		this.check = this.createCheck();
 		if (this.answerKind === AnswerKind.Foreign) {
+			this.recordOther();
 			controller.abort(new ForeignAnswerError('response does not belong to the request'));
 			return;
 		}
@@ -134,6 +142,7 @@
 	// An answer is buffered until it is complete or exceeds the limit, since a truncated answer can be
 	// replaced by another attempt only while none of it has been forwarded.
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
+		this.check?.add(chunk);
 		if (!this.stream) {
 			this.blocks.append(chunk);
 			if (this.blocks.length <= maxInlineBodyBytes) {
@@ -240,10 +249,30 @@
 		};
 	}
 
+	private recordOther(): void {
+		const {protocol, requestId} = this.deps;
+		const id = protocol.readRequestId(this.headers);
+		if (id !== requestId) {
+			this.check?.addOther(id);
+		}
+	}
+
+	private createCheck(): AnswerCheck {
+		const {status, headers} = this;
+		const {protocol, method} = this.deps;
+		const carriedIds = this.connection?.carriedIds ?? new Set();
+		return new AnswerCheck({status, headers}, {protocol, method, carriedIds});
+	}
+
+	private get connectionState(): ConnectionState {
+		return this.connection?.state ?? ConnectionState.Lost;
+	}
+
 	private end(end: BackendCallEnd): void {
 		if (!this.isEnded) {
 			this.isEnded = true;
-			this.deps.listener.onEnd(end);
+			const answer = this.check?.report(this.connectionState);
+			this.deps.listener.onEnd({...end, answer});
 		}
 	}
 }
--- a/src/executor/backend-client.ts
+++ b/src/executor/backend-client.ts
@@ -96,13 +96,14 @@
 		const {requestId} = head.origin;
 		const result = await new Promise<AttemptResult>((resolve) => {
 			const {protocol} = this;
-			const call = new BackendCall({requestId, protocol, gate, listener, resolve});
+			const {method} = head;
+			const call = new BackendCall({requestId, method, protocol, gate, listener, resolve});
 			cancellation.registerListener(() => {
 				call.cancel();
 			});
 			this.dispatch(requestId, {
 				path: head.path,
-				method: head.method,
+				method,
 				headers: this.protocol.requestHeaders(attempt, timeLeft, this.target.instance),
 				body: body.stream ? copyStream(body.stream) : undefinedIfEmpty(body.bytes),
 				call,
--- a/src/executor/backend-protocol.ts
+++ b/src/executor/backend-protocol.ts
@@ -55,6 +55,11 @@
 	 * @returns the kind of the response.
 	 */
 	classify(head: AnswerHead, requestId: string): AnswerKind;
+	/**
+	 * @param headers - headers of an answer.
+	 * @returns the id of the request that it belongs to; undefined if the headers do not name it.
+	 */
+	readRequestId(headers: HeaderList): string | undefined;
 	/**
 	 * @param headers - headers of an answer.
 	 * @returns the instance of the backend server that answered; undefined if the headers do not name it.
@@ -103,6 +108,10 @@
 		return isRefused ? AnswerKind.NotRun : AnswerKind.Answer;
 	}
 
+	readRequestId(): string | undefined {
+		return undefined;
+	}
+
 	readInstance(): string | undefined {
 		return undefined;
 	}
--- a/src/executor/connection-ends.ts
+++ b/src/executor/connection-ends.ts
@@ -1,12 +1,47 @@
+import type {Socket} from 'node:net';
 import {buildConnector} from 'undici';
 import type {Millis} from '../clock/index.js';
 
 /** Replaces the code ECONNRESET, which undici treats as the end of an answer on a connection that is not kept alive. */
 const resetCode = 'TURMERIC_RESET';
+/** Ids that are kept of a connection; an answer may come late by as many requests. */
+const maxCarriedIds = 256;
+
+/** State of a connection as far as it can mark the end of an answer. */
+export enum ConnectionState {
+	Open = 'open',
+	/** The backend server has closed its side in order. */
+	Ended = 'ended',
+	/** Reset, or ended in an unknown way. */
+	Lost = 'lost',
+}
 
 /** Handles the end of a connection ahead of undici, which asserts at that time that it isn't paused. */
 export class ConnectionEnds {
 	private readToEnd: (() => void) | undefined;
+	private current = ConnectionState.Lost;
+	private readonly ids = new Set<string>();
+
+	/** State of the connection. */
+	get state(): ConnectionState {
+		return this.current;
+	}
+
+	/** Ids of the latest requests that were sent on the connection. */
+	get carriedIds(): ReadonlySet<string> {
+		return this.ids;
+	}
+
+	/**
+	 * @param id - id of a request that is about to be written.
+	 */
+	recordRequest(id: string): void {
+		this.ids.add(id);
+		if (this.ids.size > maxCarriedIds) {
+			const [oldest] = this.ids;
+			this.ids.delete(oldest!);
+		}
+	}
 
 	/**
 	 * Registers the answer that is read from the connection, which has one at a time.
@@ -25,18 +60,41 @@
 		return (options, callback) => {
 			connect(options, (...result) => {
 				const [, socket] = result;
-				// Registered before undici's own listeners and therefore called first.
-				socket?.on('error', (err: NodeJS.ErrnoException) => {
-					if (err.code === 'ECONNRESET') {
-						err.code = resetCode;
-					}
-				});
-				// All that was received has been read from the socket by now, so that reading on takes no more memory.
-				socket?.on('end', () => {
-					this.readToEnd?.();
-				});
+				if (socket) {
+					this.observe(socket);
+				}
+
 				callback(...result);
 			});
 		};
 	}
+
+	// The listeners are registered before undici's own and therefore called first.
+	private observe(socket: Socket): void {
+		this.current = ConnectionState.Open;
+		this.ids.clear();
+		this.readToEnd = undefined;
+		socket.on('error', (err: NodeJS.ErrnoException) => {
+			this.current = ConnectionState.Lost;
+			if (err.code === 'ECONNRESET') {
+				err.code = resetCode;
+			}
+		});
+		// All that was received has been read from the socket by now, so that reading on takes no more memory.
+		socket.on('end', () => {
+			this.readToEnd?.();
+			this.current = endOf(socket);
+		});
+		socket.on('close', () => {
+			if (this.current === ConnectionState.Open) {
+				this.current = ConnectionState.Lost;
+			}
+		});
+	}
+}
+
+// A reset that arrives with the last bytes is reported as an end, without an error. Only a socket that was closed in
+// order still has a peer then. The address must not have been read before, as Node.js keeps it.
+function endOf(socket: Socket): ConnectionState {
+	return socket.remoteAddress === undefined ? ConnectionState.Lost : ConnectionState.Ended;
 }
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -31,6 +31,7 @@
 import {CallProfiles, isScalableSpeed, isUsualSpeed, transferTime} from '../routing/index.js';
 import {logEvents, type Logger, type Metrics} from '../telemetry/index.js';
 import {withResolvers} from '../util/index.js';
+import type {AnswerReport} from './answer-check.js';
 import type {BackendCallEnd} from './backend-call.js';
 import type {BackendSender, BackendTarget} from './backend-client.js';
 import type {BackendNotice} from './backend-protocol.js';
@@ -664,7 +665,8 @@
 		});
 	}
 
-	private end(attempt: Attempt, {isFailure, isBroken}: BackendCallEnd): void {
+	private end(attempt: Attempt, end: BackendCallEnd): void {
+		const {isFailure, isBroken} = end;
 		const running = this.inFlight.get(attempt);
 		if (!running) {
 			return;
@@ -672,7 +674,8 @@
 
 		const {request} = running;
 		this.recordRun(attempt, running, isFailure);
-		this.logEnded(attempt, running, isFailure, isBroken);
+		this.logEnded(attempt, running, end);
+		this.reportSpoiled(attempt, end.answer);
 
 		if (isBroken) {
 			const fingerprints = [...this.inFlight.keys()].map((other) => other.head.fingerprint);
@@ -731,11 +734,32 @@
 		return !isUsualSpeed(Math.max(this.speed.baseline, this.warmUpSlowdown));
 	}
 
+	private reportSpoiled({head, cancellation}: Attempt, answer: AnswerReport | undefined): void {
+		if (answer?.defect === undefined || cancellation.isCanceled) {
+			return;
+		}
+
+		const {status, defect, framing, bytes, connection, otherRequest} = answer;
+		const {requestId: request, route} = head.origin;
+		const backend = this.target?.instance;
+		this.deps.metrics.answersSpoiled.inc({defect});
+		this.deps.logger.log(logEvents.answerSpoiled, {
+			request,
+			route,
+			backend,
+			status,
+			defect,
+			framing,
+			bytes,
+			connection,
+			otherRequest,
+		});
+	}
+
 	private logEnded(
 		attempt: Attempt,
 		running: RunningAttempt,
-		isFailure: boolean,
-		isBroken: boolean,
+		{isFailure, isBroken, answer}: BackendCallEnd,
 	): void {
 		const now = this.deps.clock.now();
 		this.deps.logger.log(logEvents.attemptEnded, {
@@ -744,6 +768,9 @@
 			backend: this.target?.instance,
 			isFailure,
 			isBroken,
+			framing: answer?.framing,
+			bytes: answer?.bytes,
+			connection: answer?.connection,
 			isCanceled: attempt.cancellation.isCanceled,
 			waited: Math.round(running.waited),
 			ran: Math.round(now - running.startedAt),
--- a/src/telemetry/log-event.ts
+++ b/src/telemetry/log-event.ts
@@ -109,6 +109,12 @@
 		warn,
 		'An attempt past its deadline was canceled by its executor; a connection may have gone silent.',
 	),
+	answerSpoiled: event(
+		219,
+		'answer-spoiled',
+		warn,
+		'What the backend server sent as the body of an answer is not the whole body, or not only that.',
+	),
 	backendWarm: event(216, 'backend-warm', info, 'The backend server is no longer cold.'),
 	callEnded: event(800, 'call-ended', info, 'A call has ended at its ingress.'),
 	callRetried: event(801, 'call-retried', info, 'A call gets a further attempt.'),
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -118,6 +118,13 @@
 		registers: [this.registry],
 	});
 
+	readonly answersSpoiled = new Counter({
+		name: 'turmeric_answers_spoiled_total',
+		help: 'Answers of the backend server whose body was not whole or contained another answer, by defect.',
+		labelNames: ['defect'],
+		registers: [this.registry],
+	});
+
 	readonly lateAnswers = new Counter({
 		name: 'turmeric_late_answers_total',
 		help: 'Answers dropped because they arrived after their attempt had ended.',
