Known red: answers that look whole and are not

A seeded soak of answers between real nodes: five ways in which servers spoil them, resets of links, kills and stops of nodes; callers of HTTP/1.1 and 1.0, GET, HEAD and POST, kept, closing and pipelined connections.

--- a/scaffold/mesh/answer-parser.ts
+++ b/scaffold/mesh/answer-parser.ts
@@ -44,9 +44,14 @@
 /**
  * @param bytes - what a connection has received after the answers before.
  * @param isEnded - whether the other side has closed the connection in order.
+ * @param method - method of its request.
  * @returns the first answer; undefined while its head is not complete.
  */
-export function parseAnswer(bytes: Buffer, isEnded: boolean): ParsedAnswer | undefined {
+export function parseAnswer(
+	bytes: Buffer,
+	isEnded: boolean,
+	method = 'GET',
+): ParsedAnswer | undefined {
 	const end = bytes.indexOf(headEnd);
 	if (end === -1) {
 		return undefined;
@@ -61,6 +66,10 @@
 		}),
 	);
 	const start = end + headEnd.length;
+	if (method === 'HEAD') {
+		return {status, headers, body: bytes.subarray(start, start), size: start};
+	}
+
 	const length = headers.get('content-length');
 	if (headers.get('transfer-encoding')?.toLowerCase() === 'chunked') {
 		const chunks = readChunks(bytes, start);
--- a/scaffold/mesh/link-relay.ts
+++ b/scaffold/mesh/link-relay.ts
@@ -46,6 +46,14 @@
 		}
 	}
 
+	/** Resets all open connections. */
+	reset(): void {
+		for (const {near, far} of this.connections) {
+			near.resetAndDestroy();
+			far.resetAndDestroy();
+		}
+	}
+
 	close(): void {
 		this.server.close();
 		this.datagrams.close();
--- a/scaffold/soak.ts
+++ b/scaffold/soak.ts
@@ -1,11 +1,13 @@
 /**
- * Runs a soak with some seeds: `node dist/scaffold/soak.js [--stops [--nodes 8]] [--logs FOLDER] FIRST-SEED COUNT ROUNDS`.
- * It changes the configuration, or stops nodes as planned with `--stops`.
+ * Runs a soak with some seeds:
+ * `node dist/scaffold/soak.js [--stops [--nodes 8] | --answers] [--logs FOLDER] FIRST-SEED COUNT ROUNDS`.
+ * It changes the configuration, stops nodes as planned with `--stops`, or spoils and ends answers with `--answers`.
  */
 import {mkdirSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
+import {AnswerSoak, answerRounds} from './mesh/answer-soak.js';
 import {ConfigurationSoak, type SoakSize} from './mesh/configuration-soak.js';
 import {Mesh} from './mesh/mesh.js';
 import {SoakEnd, type SoakRequest} from './mesh/soak-request.js';
@@ -27,6 +29,7 @@
 const {values, positionals} = parseArgs({
 	options: {
 		stops: {type: 'boolean', default: false},
+		answers: {type: 'boolean', default: false},
 		nodes: {type: 'string', default: '8'},
 		logs: {type: 'string'},
 	},
@@ -75,6 +78,21 @@
 	};
 }
 
+/** Duration of a round in which answers are spoiled, in ms. */
+const answerRoundTime = 4000;
+
+async function soakAnswers(mesh: Mesh, seed: number, rounds: number): Promise<SoakResult> {
+	const soak = new AnswerSoak(mesh, seed);
+	await soak.open();
+	const notes: string[] = [];
+	for (const round of Array.from({length: rounds}, () => answerRounds).flat()) {
+		const counts = await soak.play(round, answerRoundTime); // eslint-disable-line no-await-in-loop
+		notes.push(`${round.name}: ${JSON.stringify(counts)}`);
+	}
+
+	return {violations: soak.violations.map((text) => ({text, events: []})), notes};
+}
+
 function keepLogs(mesh: Mesh, seed: number): void {
 	const folder = values.logs;
 	if (folder !== undefined) {
@@ -86,7 +104,8 @@
 }
 
 const [first = 1, count = 1, rounds = 5] = positionals.map(Number);
-const soak = values.stops ? soakStops : soakConfiguration;
+const otherSoak = values.stops ? soakStops : soakConfiguration;
+const soak = values.answers ? soakAnswers : otherSoak;
 let broken = 0;
 for (let seed = first; seed < first + count; seed++) {
 	const mesh = new Mesh(150 + (seed % 50));
--- /dev/null
+++ b/tests/answer-soak.test.ts
@@ -0,0 +1,27 @@
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {AnswerSoak, answerRounds} from '../scaffold/mesh/answer-soak.js';
+import {Mesh} from '../scaffold/mesh/mesh.js';
+
+const seed = 20_261_206;
+const roundTime = 2500;
+
+// Guards against answers that look whole at their callers and are not, whatever has ended or spoiled them.
+describe(`a success that looks whole is the whole body of the backend server (seed ${seed})`, () => {
+	const mesh = new Mesh(69);
+	const soak = new AnswerSoak(mesh, seed);
+
+	beforeAll(async () => {
+		await soak.open();
+	});
+
+	afterAll(async () => {
+		await mesh.stop();
+	});
+
+	it.each(answerRounds)('while $name', async (round) => {
+		soak.violations.length = 0;
+		const counts = await soak.play(round, roundTime);
+		expect(soak.violations).toEqual([]);
+		expect(counts.right).toBeGreaterThan(100);
+	});
+});
