Executor: take an answer for whole only when its end was marked

Callers saw safe requests answered 200 with a body that was too short, and nothing that told so. The backend server had reset its connection within an answer without a length.

Cause: a reset that arrives with the last bytes is read as a partial read with a hang-up, which Node.js reports as an end, and undici ends the answer. No error was seen, so the body counted as whole.

A body is now whole only by what marks its end: the head, the length, the last chunk, or an orderly end of the connection, which has a peer left. It is asked in one place, for buffered and streamed answers. A cut one is a lost answer, so that a safe request goes to another server and any other is told the truth.

--- a/src/executor/__tests__/unit/connection-ends.test.ts
+++ b/src/executor/__tests__/unit/connection-ends.test.ts
@@ -247,22 +247,16 @@
 		return Promise.race([answered, failed]);
 	};
 
-	const cases = framings
-		.flatMap((framing) =>
-			Object.values(Ending).flatMap((ending) =>
-				[false, true].map((isSlow) => ({
-					...framing,
-					ending,
-					isSlow,
-					name: `${framing.framing}, ${framing.isKept ? 'kept' : 'closed'}, ${ending}, read ${isSlow ? 'slowly' : 'at once'}`,
-				})),
-			),
-		)
-		// A reset that arrives with the last bytes is reported as an orderly end: review/2 in KNOWN-RED.txt.
-		.filter(
-			({framing, ending, isSlow}) =>
-				framing !== Framing.Connection || ending !== Ending.Reset || !isSlow,
-		);
+	const cases = framings.flatMap((framing) =>
+		Object.values(Ending).flatMap((ending) =>
+			[false, true].map((isSlow) => ({
+				...framing,
+				ending,
+				isSlow,
+				name: `${framing.framing}, ${framing.isKept ? 'kept' : 'closed'}, ${ending}, read ${isSlow ? 'slowly' : 'at once'}`,
+			})),
+		),
+	);
 
 	it.each(cases)('reads no more and no less than the answer ($name)', async (testCase) => {
 		const {framing, isKept, ending, isSlow} = testCase;
--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -10,7 +10,7 @@
 	type AttemptResult,
 } from '../exchange/index.js';
 import {ByteBlocks} from '../util/index.js';
-import {AnswerCheck, type AnswerReport} from './answer-check.js';
+import {AnswerCheck, AnswerDefect, type AnswerReport} from './answer-check.js';
 import {AnswerStream} from './answer-stream.js';
 import {
 	AnswerKind,
@@ -58,6 +58,15 @@
 	override name = 'ForeignAnswerError';
 }
 
+/** The body of the answer is not the whole body, or not only that. */
+class SpoiledAnswerError extends Error {
+	override name = 'SpoiledAnswerError';
+
+	constructor(readonly defect: AnswerDefect) {
+		super(`body of the answer spoiled: ${defect}`);
+	}
+}
+
 const notRunReasons: Readonly<Partial<Record<AnswerKind, RefusalReason>>> = {
 	[AnswerKind.NotRun]: RefusalReason.BackendRefused,
 	[AnswerKind.OtherInstance]: RefusalReason.BackendReplaced,
@@ -157,6 +166,12 @@
 	}
 
 	onResponseEnd(controller: Dispatcher.DispatchController): void {
+		const defect = this.defect();
+		if (defect === AnswerDefect.Cut) {
+			this.fail(new SpoiledAnswerError(defect));
+			return;
+		}
+
 		this.trailers.push(...toHeaderList(controller.rawTrailers));
 		this.end({isFailure: this.status >= serverErrorStatus, isBroken: false});
 		if (this.stream) {
@@ -174,13 +189,7 @@
 			return;
 		}
 
-		const isAborted = err instanceof AbortedError;
-		const isForeign = err instanceof ForeignAnswerError;
-		this.end({isFailure: !isAborted, isBroken: !isAborted && !isForeign});
-		this.stream?.destroy(err);
-		this.deps.resolve(
-			createUnknown(isAborted ? RefusalReason.Canceled : RefusalReason.BackendLost),
-		);
+		this.fail(err);
 	}
 
 	/** Aborts the request, as its answer is no longer needed. */
@@ -257,6 +266,26 @@
 		}
 	}
 
+	private fail(err: Error): void {
+		const isAborted = err instanceof AbortedError;
+		const isForeign = err instanceof ForeignAnswerError;
+		this.end({
+			isFailure: !isAborted,
+			isBroken: !isAborted && !isForeign && !isConnectionSound(err),
+		});
+		this.stream?.destroy(err);
+		this.deps.resolve(
+			createUnknown(isAborted ? RefusalReason.Canceled : RefusalReason.BackendLost),
+		);
+	}
+
+	// The head of a refusal says all that matters of it.
+	private defect(): AnswerDefect | undefined {
+		return this.answerKind === AnswerKind.Answer
+			? this.check?.defect(this.connectionState)
+			: undefined;
+	}
+
 	private createCheck(): AnswerCheck {
 		const {status, headers} = this;
 		const {protocol, method} = this.deps;
@@ -282,6 +311,10 @@
 	return hasHeader(headers, 'content-length') || hasHeader(headers, 'transfer-encoding');
 }
 
+function isConnectionSound(err: Error): boolean {
+	return err instanceof SpoiledAnswerError && err.defect !== AnswerDefect.Cut;
+}
+
 function toHeaderList(raw: Dispatcher.DispatchController['rawHeaders']): HeaderList {
 	const headers: HeaderList = [];
 	if (Array.isArray(raw)) {
