Executor: refuse bodies with a transfer coding that was not requested

Callers would get coded bytes as the body: transfer-encoding names one connection only and is not passed on, and any coding counted as the mark of an end, though only chunks mark one. Found by reading; the test was red before.

--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -167,7 +167,7 @@
 
 	onResponseEnd(controller: Dispatcher.DispatchController): void {
 		const defect = this.defect();
-		if (defect === AnswerDefect.Cut) {
+		if (defect === AnswerDefect.Cut || defect === AnswerDefect.Coding) {
 			this.fail(new SpoiledAnswerError(defect));
 			return;
 		}
