Executor: take a body with another answer in it for spoiled

Callers saw bodies that were longer than the server's by a second answer, with its head. A backend server had written an answer twice before it closed, or an answer to an earlier request late on a kept connection. All that comes before the close counts as the body of an answer without a length.

A body is spoiled when it contains the head of an answer that names a request which its own connection has carried: ids are drawn for each request, so that an honest body contains one only if it quotes an answer to itself or to the latest requests of its connection. The rest is then not read, the answer counts as lost, and the connection is closed.

Red before: spoiled-answers.test.ts (written twice; an earlier one within it).

--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -152,6 +152,11 @@
 	// replaced by another attempt only while none of it has been forwarded.
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
 		this.check?.add(chunk);
+		if (this.check?.hasSecondAnswer && this.answerKind === AnswerKind.Answer) {
+			controller.abort(new SpoiledAnswerError(AnswerDefect.SecondAnswer));
+			return;
+		}
+
 		if (!this.stream) {
 			this.blocks.append(chunk);
 			if (this.blocks.length <= maxInlineBodyBytes) {
@@ -167,7 +172,7 @@
 
 	onResponseEnd(controller: Dispatcher.DispatchController): void {
 		const defect = this.defect();
-		if (defect === AnswerDefect.Cut || defect === AnswerDefect.Coding) {
+		if (defect !== undefined) {
 			this.fail(new SpoiledAnswerError(defect));
 			return;
 		}
