Executor: take a body with a length for spoiled when an answer goes on behind it

A second answer written within a body with a length shifts its rest behind the length, so that the body has the right size and the head of the other answer may be cut by the end. Such a body ends within what may be a head, and its connection goes on, which closes it. It is asked one turn of the event loop later; a body that only quotes the start of an answer leaves its connection open.

Red before: spoiled-answers.test.ts (with a length, an earlier one within it).

--- a/src/executor/answer-check.ts
+++ b/src/executor/answer-check.ts
@@ -40,8 +40,10 @@
 	private readonly framing: BodyFraming;
 	private readonly status: number;
 	private readonly length: number;
+	private readonly isKept: boolean;
 	private readonly scanner: AnswerScanner;
 	private bytes = 0;
+	private isContinued = false;
 	private otherRequest: string | undefined;
 
 	constructor({status, headers}: AnswerHead, deps: AnswerCheckDependencies) {
@@ -49,12 +51,18 @@
 		this.status = status;
 		this.framing = readFraming(method, status, headers);
 		this.length = Number(headerValue(headers, 'content-length'));
+		this.isKept = headerValue(headers, 'connection')?.toLowerCase() !== 'close';
 		this.scanner = new AnswerScanner((list) => protocol.readRequestId(list), carriedIds);
 	}
 
-	/** Whether the body contains the head of another answer. */
+	/** Whether the body contains another answer. */
 	get hasSecondAnswer(): boolean {
-		return this.otherRequest !== undefined;
+		return this.isContinued || this.otherRequest !== undefined;
+	}
+
+	/** Whether another answer may go on behind the length of the body. */
+	get mayContinue(): boolean {
+		return this.framing === BodyFraming.Length && this.isKept && this.scanner.isWithinHead;
 	}
 
 	/**
@@ -65,6 +73,11 @@
 		this.otherRequest ??= this.scanner.scan(chunk);
 	}
 
+	/** Records that the connection went on behind the length of the body. */
+	recordContinued(): void {
+		this.isContinued = true;
+	}
+
 	/**
 	 * Records that this is an answer to another request.
 	 * @param id - id of that request.
--- a/src/executor/answer-scanner.ts
+++ b/src/executor/answer-scanner.ts
@@ -22,6 +22,11 @@
 		private readonly carriedIds: ReadonlySet<string>,
 	) {}
 
+	/** Whether the head of an answer may have begun and not ended. */
+	get isWithinHead(): boolean {
+		return this.rest.length > 0;
+	}
+
 	/**
 	 * @param chunk - next bytes of the body.
 	 * @returns id of the request to which an answer within the body belongs; undefined if none was found.
--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -171,18 +171,13 @@
 	}
 
 	onResponseEnd(controller: Dispatcher.DispatchController): void {
-		const defect = this.defect();
-		if (defect !== undefined) {
-			this.fail(new SpoiledAnswerError(defect));
-			return;
-		}
-
 		this.trailers.push(...toHeaderList(controller.rawTrailers));
-		this.end({isFailure: this.status >= serverErrorStatus, isBroken: false});
-		if (this.stream) {
-			this.stream.complete();
+		if (this.check?.mayContinue) {
+			setImmediate(() => {
+				this.completeUnlessContinued();
+			});
 		} else {
-			this.deps.resolve(this.createResult());
+			this.complete(this.defect());
 		}
 	}
 
@@ -203,6 +198,29 @@
 		this.controller?.abort(new AbortedError('canceled'));
 	}
 
+	private complete(defect: AnswerDefect | undefined): void {
+		if (defect !== undefined) {
+			this.fail(new SpoiledAnswerError(defect));
+			return;
+		}
+
+		this.end({isFailure: this.status >= serverErrorStatus, isBroken: false});
+		if (this.stream) {
+			this.stream.complete();
+		} else {
+			this.deps.resolve(this.createResult());
+		}
+	}
+
+	// What goes on behind the length of a body closes the connection.
+	private completeUnlessContinued(): void {
+		if (this.connectionState !== ConnectionState.Open) {
+			this.check?.recordContinued();
+		}
+
+		this.complete(this.defect());
+	}
+
 	private startStream(controller: Dispatcher.DispatchController): void {
 		const resume = () => {
 			controller.resume();
