Executor: let the operating system tell how a connection has ended

That a socket without a peer was reset is a side effect which Node.js does not document. The connection now reads on only in a later turn of the event loop, so that libuv asks the operating system for the end instead of deriving it from the hang-up that came with the last bytes; a reset is then an error like any other.

--- a/src/executor/answer-check.ts
+++ b/src/executor/answer-check.ts
@@ -22,6 +22,8 @@
 	readonly bytes: number;
 	/** State of the connection at the end of the body. */
 	readonly connection: ConnectionState;
+	/** Code of the error that ended the connection before; undefined if there was none. */
+	readonly error: string | undefined;
 	/** Undefined if the body is whole. */
 	readonly defect: AnswerDefect | undefined;
 	/** Id of the request to which an answer within the body belongs; undefined if there is none. */
@@ -104,11 +106,13 @@
 
 	/**
 	 * @param connection - state of the connection at the end of the body.
+	 * @param error - code of the error that ended the connection; undefined if there was none.
 	 * @returns how the body has ended.
 	 */
-	report(connection: ConnectionState): AnswerReport {
+	report(connection: ConnectionState, error?: string): AnswerReport {
 		const {status, framing, bytes, otherRequest} = this;
-		return {status, framing, bytes, connection, defect: this.defect(connection), otherRequest};
+		const defect = this.defect(connection);
+		return {status, framing, bytes, connection, error, defect, otherRequest};
 	}
 
 	private isEndMarked(connection: ConnectionState): boolean {
--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -323,7 +323,7 @@
 	private end(end: BackendCallEnd): void {
 		if (!this.isEnded) {
 			this.isEnded = true;
-			const answer = this.check?.report(this.connectionState);
+			const answer = this.check?.report(this.connectionState, this.connection?.error);
 			this.deps.listener.onEnd({...end, answer});
 		}
 	}
--- a/src/executor/connection-ends.ts
+++ b/src/executor/connection-ends.ts
@@ -4,6 +4,12 @@
 
 /** Replaces the code ECONNRESET, which undici treats as the end of an answer on a connection that is not kept alive. */
 const resetCode = 'TURMERIC_RESET';
+/** The stream stops reading with each chunk, and starts again when that is taken. */
+const bufferSizes = {
+	highWaterMark: undefined,
+	readableHighWaterMark: 1,
+	writableHighWaterMark: 65_536,
+};
 /** Ids that are kept of a connection; an answer may come late by as many requests. */
 const maxCarriedIds = 256;
 
@@ -20,6 +26,7 @@
 export class ConnectionEnds {
 	private readToEnd: (() => void) | undefined;
 	private current = ConnectionState.Lost;
+	private errorCode: string | undefined;
 	private readonly ids = new Set<string>();
 
 	/** State of the connection. */
@@ -27,6 +34,11 @@
 		return this.current;
 	}
 
+	/** Code of the error that ended the connection; undefined if there was none. */
+	get error(): string | undefined {
+		return this.errorCode;
+	}
+
 	/** Ids of the latest requests that were sent on the connection. */
 	get carriedIds(): ReadonlySet<string> {
 		return this.ids;
@@ -56,7 +68,7 @@
 	 * @returns a connector that observes its sockets.
 	 */
 	createConnector(timeout: Millis): buildConnector.connector {
-		const connect = buildConnector({timeout});
+		const connect = buildConnector({timeout, ...bufferSizes});
 		return (options, callback) => {
 			connect(options, (...result) => {
 				const [, socket] = result;
@@ -72,10 +84,13 @@
 	// The listeners are registered before undici's own and therefore called first.
 	private observe(socket: Socket): void {
 		this.current = ConnectionState.Open;
+		this.errorCode = undefined;
 		this.ids.clear();
 		this.readToEnd = undefined;
+		readInTurns(socket);
 		socket.on('error', (err: NodeJS.ErrnoException) => {
 			this.current = ConnectionState.Lost;
+			this.errorCode = err.code;
 			if (err.code === 'ECONNRESET') {
 				err.code = resetCode;
 			}
@@ -83,7 +98,7 @@
 		// All that was received has been read from the socket by now, so that reading on takes no more memory.
 		socket.on('end', () => {
 			this.readToEnd?.();
-			this.current = endOf(socket);
+			this.current = ConnectionState.Ended;
 		});
 		socket.on('close', () => {
 			if (this.current === ConnectionState.Open) {
@@ -93,8 +108,17 @@
 	}
 }
 
-// A reset that arrives with the last bytes is reported as an end, without an error. Only a socket that was closed in
-// order still has a peer then. The address must not have been read before, as Node.js keeps it.
-function endOf(socket: Socket): ConnectionState {
-	return socket.remoteAddress === undefined ? ConnectionState.Lost : ConnectionState.Ended;
+/**
+ * Makes a socket read on only in a later turn of the event loop. While reading goes on, libuv tells a reset that arrives
+ * with the last bytes as an end, without asking the operating system. Otherwise the next read tells which it was.
+ */
+function readInTurns(socket: Socket): void {
+	const readOn = socket._read.bind(socket);
+	socket._read = (size) => {
+		setImmediate(() => {
+			if (!socket.destroyed) {
+				readOn(size);
+			}
+		});
+	};
 }
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -739,7 +739,7 @@
 			return;
 		}
 
-		const {status, defect, framing, bytes, connection, otherRequest} = answer;
+		const {status, defect, framing, bytes, connection, error, otherRequest} = answer;
 		const {requestId: request, route} = head.origin;
 		const backend = this.target?.instance;
 		this.deps.metrics.answersSpoiled.inc({defect});
@@ -752,6 +752,7 @@
 			framing,
 			bytes,
 			connection,
+			error,
 			otherRequest,
 		});
 	}
