Ingress: mark the end of each answer for its caller, behind its whole body

Callers saw 200, a part of the body and an orderly end of the connection, which was the only mark of the end. An answer without a length was passed on without one, so that whatever closed the connection also ended the answer: an error of the backend server, the deadline, a lost link, a kill or the exit of a node. A killed process cannot even reset its connections. Callers of HTTP/1.0 got chunks when the backend server had sent some.

The framing now follows from what the caller can read: a length where it is known, otherwise chunks, whose last one is written only behind a whole body. Callers of HTTP/1.0 get such answers up to the end of the connection, which is reset if the answer is cut, also when the node leaves. Connections of callers stay open behind answers that had no length.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -38,6 +38,7 @@
 } from '../telemetry/index.js';
 import {bindPort} from '../net/index.js';
 import {withResolvers} from '../util/index.js';
+import {AnswerFraming, chooseFraming, framingHeaders} from './answer-framing.js';
 import {AnswerWatch} from './answer-watch.js';
 import type {CallQuota} from './call-quota.js';
 import {CallerConnection, ConnectionClosedError, type CallerTurn} from './caller-connection.js';
@@ -111,6 +112,8 @@
 	/** Requests whose callers wait to be told that their bodies are read. */
 	private readonly awaitingContinue = new WeakSet<IncomingMessage>();
 	private readonly bodyMemory: BodyMemory;
+	/** Answers being written whose end only their connection marks. */
+	private readonly unmarked = new Set<ServerResponse>();
 	private isDraining = false;
 	/** Whether requests that are not passed on yet are refused. */
 	private isRefusing = false;
@@ -225,10 +228,15 @@
 	}
 
 	/**
-	 * Reports the requests that are cut because the process ends.
+	 * Reports the requests that are cut because the process ends. Where only the end of the connection would show it, the
+	 * connection is reset.
 	 * @returns their number.
 	 */
-	reportRemaining(): number {
+	breakOffRemaining(): number {
+		for (const res of this.unmarked) {
+			breakOff(res, AnswerFraming.Connection);
+		}
+
 		return this.answers.reportRemaining();
 	}
 
@@ -561,9 +569,13 @@
 		const {body, status, headers} = result;
 		const {res} = turn;
 		const {stream} = body;
-		const isDelimited = body.isDelimited || !mayHaveContent(turn.req, status);
-		if (!isDelimited) {
+		const framing = chooseFraming(turn.req, result);
+		if (framing === AnswerFraming.Connection) {
 			turn.closeBehind();
+			this.unmarked.add(res);
+			res.once('close', () => {
+				this.unmarked.delete(res);
+			});
 		}
 
 		if (!turn.tryAnswer()) {
@@ -580,9 +592,9 @@
 			return this.sendRefusal(turn, {reason, retryAfter: refusals[reason].retryAfter});
 		}
 
-		// With chunked encoding, an undelimited answer that was truncated would look complete.
-		res.useChunkedEncodingByDefault = isDelimited;
-		this.writeHead(res, status, [...headers, ...extraHeaders]);
+		res.useChunkedEncodingByDefault = framing !== AnswerFraming.Connection;
+		const ownHeaders = framingHeaders(framing, result);
+		this.writeHead(res, status, [...headers, ...ownHeaders, ...extraHeaders]);
 		if (body.bytes) {
 			res.end(body.bytes);
 			return Outcome.Answered;
@@ -599,8 +611,7 @@
 		});
 		stream?.once('error', (err) => {
 			this.answers.reportCut(res, this.reasonOfCut(call, err));
-			// Closing the connection shows the caller that the answer is truncated.
-			res.destroy();
+			breakOff(res, framing);
 			resolve(Outcome.Unknown);
 		});
 		res.once('close', () => {
@@ -773,8 +784,13 @@
 	}
 }
 
-function mayHaveContent({method}: IncomingMessage, status: number): boolean {
-	return method !== 'HEAD' && status !== 204 && status !== 304;
+// Shows the caller that the answer is truncated.
+function breakOff(res: ServerResponse, framing: AnswerFraming): void {
+	if (framing === AnswerFraming.Connection) {
+		res.socket?.resetAndDestroy();
+	} else {
+		res.destroy();
+	}
 }
 
 function badRequestStatus(err: NodeJS.ErrnoException): string {
--- a/src/wiring/departure.ts
+++ b/src/wiring/departure.ts
@@ -60,5 +60,5 @@
 	// Requests that were read meanwhile were refused; their callers must get this.
 	ingress.closeConnections();
 	await core.waitUntilIdle(() => ingress.pendingCount + hub.unsentLinks, until + notice);
-	return {cut: ingress.reportRemaining(), running: executor.callCount + hub.callsInFlight};
+	return {cut: ingress.breakOffRemaining(), running: executor.callCount + hub.callsInFlight};
 }
