Ingress: serve a safe request again whose answer broke off before it was forwarded

Callers got 504 for a safe request although none of its answer had been forwarded and time was left. An answer above 64 KiB counts as answered as soon as it streams; one that waits for its turn on its connection could break off then, and nothing ran the call again.

The end of such a call now offers to replace the answer: the loop of attempts goes on with what it knows, so that attempts, budgets and excluded servers hold.

--- a/src/exchange/call.ts
+++ b/src/exchange/call.ts
@@ -27,6 +27,11 @@
 	readonly attempts: number;
 	/** Id of the executor of the last attempt. */
 	readonly executor: string | undefined;
+	/**
+	 * Runs the call once more, in the time and within the budgets that are left, after the body of its answer broke off
+	 * before any of it was forwarded. Undefined if the answer does not stream or the call is not idempotent.
+	 */
+	readonly replaceAnswer?: (() => Promise<CallEnd>) | undefined;
 	/** When capacity for a refused call is expected, in ms from now; undefined if unknown. */
 	readonly retryAfter?: Millis | undefined;
 }
--- a/src/ingress/__tests__/unit/call-runner.test.ts
+++ b/src/ingress/__tests__/unit/call-runner.test.ts
@@ -1,3 +1,4 @@
+import {PassThrough} from 'node:stream';
 import {describe, expect, it} from 'vitest';
 import {Deadline, RefusalReason, type LoadReport} from '../../../call/index.js';
 import {ManualClock} from '../../../clock/index.js';
@@ -8,6 +9,7 @@
 	createRefused,
 	createUnknown,
 	createBufferedBody,
+	createStreamBody,
 	type Attempt,
 	type AttemptResult,
 	type Call,
@@ -236,6 +238,28 @@
 		expect(attempts).toBe(2);
 	});
 
+	it('replaces an answer that broke off by another attempt, within the attempts of the call', async () => {
+		const tried: string[] = [];
+		const runner = createRunner(4, (_attempt, executor) => {
+			tried.push(executor);
+			const body = createStreamBody(new PassThrough());
+			return {end: AttemptEnd.Answered, status: 200, headers: [], body, load};
+		});
+		const ends = [await runner.run(createCall(true))];
+		for (let end = ends[0]; end?.replaceAnswer; end = ends.at(-1)) {
+			ends.push(await end.replaceAnswer()); // eslint-disable-line no-await-in-loop
+		}
+
+		expect(ends.map(({result}) => result.end)).toEqual([
+			AttemptEnd.Answered,
+			AttemptEnd.Answered,
+			AttemptEnd.Unknown,
+		]);
+		expect(new Set(tried).size).toBe(2);
+		const {replaceAnswer} = await runner.run(createCall(false));
+		expect(replaceAnswer).toBeUndefined();
+	});
+
 	it('queues at a busy executor when there is no other executor', async () => {
 		const runner = createRunner(1, (attempt) =>
 			attempt.canRetryElsewhere ? createRefused(RefusalReason.Busy, load) : answered,
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -5,6 +5,7 @@
 	AttemptEnd,
 	Cancellation,
 	createRefused,
+	createUnknown,
 	type AnsweredAttempt,
 	type Attempt,
 	type AttemptResult,
@@ -123,7 +124,35 @@
 	async run(call: Call): Promise<CallEnd> {
 		this.budgets.earn(call);
 		this.retryElsewhereBudget.deposit(retryElsewhereShare);
+		return this.runAttempts(call, createProgress());
+	}
+
+	/**
+	 * @param call - a call whose body was not read yet.
+	 * @returns the end of the call if it is refused for want of an executor; undefined otherwise.
+	 */
+	async refuseAhead(call: Call): Promise<CallEnd | undefined> {
 		const progress = createProgress();
+		const executor = this.choose(call, progress) ?? (await this.awaitExecutor(call, progress));
+		if (executor) {
+			return undefined;
+		}
+
+		const reason = this.deps.placement.noExecutorReason(this.query(call, progress));
+		return this.createCallEnd(call, createRefused(reason), progress);
+	}
+
+	/**
+	 * Checks the pending attempts at an executor for hedging after the executor has become slow.
+	 * @param id - id of the executor.
+	 */
+	reconsiderHedges(id: string): void {
+		for (const candidate of this.hedgeCandidates.get(id) ?? []) {
+			this.tryHedge(candidate);
+		}
+	}
+
+	private async runAttempts(call: Call, progress: Progress): Promise<CallEnd> {
 		const undoDeadline = this.deps.clock.after(
 			call.deadline.timeLeft(this.deps.clock.now()),
 			() => {
@@ -156,29 +185,12 @@
 		return this.createCallEnd(call, result, progress);
 	}
 
-	/**
-	 * @param call - a call whose body was not read yet.
-	 * @returns the end of the call if it is refused for want of an executor; undefined otherwise.
-	 */
-	async refuseAhead(call: Call): Promise<CallEnd | undefined> {
-		const progress = createProgress();
-		const executor = this.choose(call, progress) ?? (await this.awaitExecutor(call, progress));
-		if (executor) {
-			return undefined;
-		}
-
-		const reason = this.deps.placement.noExecutorReason(this.query(call, progress));
-		return this.createCallEnd(call, createRefused(reason), progress);
-	}
-
-	/**
-	 * Checks the pending attempts at an executor for hedging after the executor has become slow.
-	 * @param id - id of the executor.
-	 */
-	reconsiderHedges(id: string): void {
-		for (const candidate of this.hedgeCandidates.get(id) ?? []) {
-			this.tryHedge(candidate);
-		}
+	private async replaceAnswer(call: Call, progress: Progress): Promise<CallEnd> {
+		const lost = createUnknown(RefusalReason.BackendLost);
+		progress.maybeExecuted = lost;
+		return this.canRetry(call, lost, progress)
+			? this.runAttempts(call, progress)
+			: this.createCallEnd(call, lost, progress);
 	}
 
 	private createCallEnd(call: Call, result: AttemptResult, progress: Progress): CallEnd {
@@ -187,7 +199,14 @@
 		const roomIn = isRefused
 			? this.deps.placement.retryAfterHint({...this.query(call, progress), excluded: new Set()})
 			: undefined;
-		return {result, attempts, executor, retryAfter: roomIn};
+		const isReplaceable =
+			call.head.isIdempotent &&
+			result.end === AttemptEnd.Answered &&
+			result.body.stream !== undefined;
+		const replaceAnswer = isReplaceable
+			? async () => this.replaceAnswer(call, progress)
+			: undefined;
+		return {result, attempts, executor, replaceAnswer, retryAfter: roomIn};
 	}
 
 	// A call is reported as "not run" only if none of its attempts can have run.
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -534,14 +534,13 @@
 
 	private async sendEnd(turn: CallerTurn, call: Call, end: CallEnd): Promise<Outcome> {
 		const {result} = end;
-		const {protocol} = this.deps;
 		this.logEnd(call, end);
 		if (!turn.isNext) {
 			void this.noteLateAnswer(turn, call);
 		}
 
 		if (result.end === AttemptEnd.Answered) {
-			return this.sendAnswer(turn, call, result, protocol.answerHeaders(call, end));
+			return this.sendAnswer(turn, call, end, result);
 		}
 
 		const {reason} = result;
@@ -563,8 +562,8 @@
 	private async sendAnswer(
 		turn: CallerTurn,
 		call: Call,
+		end: CallEnd,
 		result: AnsweredAttempt,
-		extraHeaders: HeaderList,
 	): Promise<Outcome> {
 		const {body, status, headers} = result;
 		const {res} = turn;
@@ -588,13 +587,13 @@
 		}
 
 		if (stream?.errored) {
-			const reason = RefusalReason.BackendLost;
-			return this.sendRefusal(turn, {reason, retryAfter: refusals[reason].retryAfter});
+			return this.sendReplacement(turn, call, end);
 		}
 
 		res.useChunkedEncodingByDefault = framing !== AnswerFraming.Connection;
+		const {protocol} = this.deps;
 		const ownHeaders = framingHeaders(framing, result);
-		this.writeHead(res, status, [...headers, ...ownHeaders, ...extraHeaders]);
+		this.writeHead(res, status, [...headers, ...ownHeaders, ...protocol.answerHeaders(call, end)]);
 		if (body.bytes) {
 			res.end(body.bytes);
 			return Outcome.Answered;
@@ -625,6 +624,16 @@
 		return promise;
 	}
 
+	// None of the answer has been forwarded.
+	private async sendReplacement(turn: CallerTurn, call: Call, end: CallEnd): Promise<Outcome> {
+		if (end.replaceAnswer) {
+			return this.sendEnd(turn, call, await end.replaceAnswer());
+		}
+
+		const reason = RefusalReason.BackendLost;
+		return this.sendRefusal(turn, {reason, retryAfter: refusals[reason].retryAfter}, end);
+	}
+
 	private reasonOfCut(call: Call, err: Error): AnswerCut {
 		if (call.deadline.timeLeft(this.deps.clock.now()) <= 0) {
 			return AnswerCut.Deadline;
