--- a/src/executor/answer-check.ts
+++ b/src/executor/answer-check.ts
@@ -10,8 +10,10 @@
 	Cut = 'cut',
 	/** It has a transfer coding that was not requested. */
 	Coding = 'coding',
-	/** It contains another answer. */
+	/** It contains another answer, or belongs to another request of the connection. */
 	SecondAnswer = 'second-answer',
+	/** Its head is not that of an answer to the request. */
+	Foreign = 'foreign',
 }
 
 /** How the body of an answer has ended, for the log. */
@@ -26,7 +28,7 @@
 	readonly error: string | undefined;
 	/** Undefined if the body is whole. */
 	readonly defect: AnswerDefect | undefined;
-	/** Id of the request to which an answer within the body belongs; undefined if there is none. */
+	/** Id of the request to which another answer belongs; undefined if there is none. */
 	readonly otherRequest: string | undefined;
 }
 
@@ -46,6 +48,7 @@
 	private readonly scanner: AnswerScanner;
 	private bytes = 0;
 	private isContinued = false;
+	private isForeign = false;
 	private otherRequest: string | undefined;
 
 	constructor({status, headers}: AnswerHead, deps: AnswerCheckDependencies) {
@@ -81,10 +84,11 @@
 	}
 
 	/**
-	 * Records that this is an answer to another request.
-	 * @param id - id of that request.
+	 * Records that this is no answer to the request.
+	 * @param id - id of the request that the head names; undefined if that is no other one.
 	 */
-	addOther(id: string | undefined): void {
+	recordForeign(id: string | undefined): void {
+		this.isForeign = true;
 		this.otherRequest ??= id;
 	}
 
@@ -97,6 +101,10 @@
 			return AnswerDefect.SecondAnswer;
 		}
 
+		if (this.isForeign) {
+			return AnswerDefect.Foreign;
+		}
+
 		if (this.framing === BodyFraming.Unknown) {
 			return AnswerDefect.Coding;
 		}
--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -133,7 +133,7 @@
 		);
 		this.check = this.createCheck();
 		if (this.answerKind === AnswerKind.Foreign) {
-			this.recordOther();
+			this.recordForeign();
 			controller.abort(new ForeignAnswerError('response does not belong to the request'));
 			return;
 		}
@@ -281,12 +281,10 @@
 		};
 	}
 
-	private recordOther(): void {
+	private recordForeign(): void {
 		const {protocol, requestId} = this.deps;
 		const id = protocol.readRequestId(this.headers);
-		if (id !== requestId) {
-			this.check?.addOther(id);
-		}
+		this.check?.recordForeign(id === requestId ? undefined : id);
 	}
 
 	private fail(err: Error): void {
