--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -399,7 +399,9 @@
 			return Outcome.NotRun;
 		}
 
-		this.writeHead(turn.res, 201, ['content-type', 'application/json']);
+		const length = String(text.length);
+		const headers = ['content-type', 'application/json', 'content-length', length];
+		this.writeHead(turn.res, 201, headers);
 		turn.res.end(text);
 		return Outcome.Answered;
 	}
@@ -571,10 +573,7 @@
 		const framing = chooseFraming(turn.req, result);
 		if (framing === AnswerFraming.Connection) {
 			turn.closeBehind();
-			this.unmarked.add(res);
-			res.once('close', () => {
-				this.unmarked.delete(res);
-			});
+			this.trackUnmarked(res);
 		}
 
 		if (!turn.tryAnswer()) {
@@ -599,9 +598,20 @@
 			return Outcome.Answered;
 		}
 
+		return this.streamBody(turn, call, body, framing);
+	}
+
+	private async streamBody(
+		turn: CallerTurn,
+		call: Call,
+		{stream, trailers}: Body,
+		framing: AnswerFraming,
+	): Promise<Outcome> {
+		const {res} = turn;
 		const {promise, resolve} = withResolvers<Outcome>();
+		// The last chunk is written here only.
 		stream?.once('end', () => {
-			addTrailers(res, body.trailers);
+			addTrailers(res, trailers);
 			res.end();
 			resolve(Outcome.Answered);
 		});
@@ -624,6 +634,13 @@
 		return promise;
 	}
 
+	private trackUnmarked(res: ServerResponse): void {
+		this.unmarked.add(res);
+		res.once('close', () => {
+			this.unmarked.delete(res);
+		});
+	}
+
 	// None of the answer has been forwarded.
 	private async sendReplacement(turn: CallerTurn, call: Call, end: CallEnd): Promise<Outcome> {
 		if (end.replaceAnswer) {
