Answers: one enum of framings, one error and one record of a defect

Read again as a whole. The ingress had an enum of its own for what BodyFraming says, a foreign answer an error of its own beside SpoiledAnswerError, the check three fields where one found defect serves, and isDelimited read the headers a second time by an older rule; it now follows from the framing. Peers only of earlier versions read that flag, so the receiving side no longer keeps it. For an answer without content and length it is now true, which they treat alike. The executor logs the report as it is. Behaviour is otherwise unchanged.

--- a/src/exchange/body.ts
+++ b/src/exchange/body.ts
@@ -12,7 +12,7 @@
 	readonly stream: Readable | undefined;
 	/** Trailers, which are complete once the body has ended. */
 	readonly trailers: HeaderList;
-	/** Whether the sender marks the end of the body; otherwise it ends when the connection closes. */
+	/** Whether the sender marked the end of the body; otherwise it ended with its connection. For peers of earlier versions. */
 	readonly isDelimited: boolean;
 	/** Declared size of a stream, in bytes; undefined if it is not known. */
 	readonly length?: number | undefined;
--- a/src/executor/answer-check.ts
+++ b/src/executor/answer-check.ts
@@ -41,14 +41,15 @@
 
 /** Decides whether what was received of an answer is its whole body and nothing else. */
 export class AnswerCheck {
-	private readonly framing: BodyFraming;
+	/** What marks the end of the body. */
+	readonly framing: BodyFraming;
 	private readonly status: number;
 	private readonly length: number;
 	private readonly isKept: boolean;
 	private readonly scanner: AnswerScanner;
 	private bytes = 0;
-	private isContinued = false;
-	private isForeign = false;
+	/** Defect that was found before the end of the body. */
+	private found: AnswerDefect | undefined;
 	private otherRequest: string | undefined;
 
 	constructor({status, headers}: AnswerHead, deps: AnswerCheckDependencies) {
@@ -62,7 +63,7 @@
 
 	/** Whether the body contains another answer. */
 	get hasSecondAnswer(): boolean {
-		return this.isContinued || this.otherRequest !== undefined;
+		return this.found === AnswerDefect.SecondAnswer;
 	}
 
 	/** Whether another answer may go on behind the length of the body. */
@@ -75,12 +76,19 @@
 	 */
 	add(chunk: Uint8Array): void {
 		this.bytes += chunk.length;
-		this.otherRequest ??= this.scanner.scan(chunk);
+		const id = this.scanner.scan(chunk);
+		if (id !== undefined) {
+			this.recordSecondAnswer(id);
+		}
 	}
 
-	/** Records that the connection went on behind the length of the body. */
-	recordContinued(): void {
-		this.isContinued = true;
+	/**
+	 * Records that the body contains another answer, or goes on as one.
+	 * @param id - id of the request to which it belongs; undefined if that is not known.
+	 */
+	recordSecondAnswer(id?: string): void {
+		this.found = AnswerDefect.SecondAnswer;
+		this.otherRequest ??= id;
 	}
 
 	/**
@@ -88,8 +96,8 @@
 	 * @param id - id of the request that the head names; undefined if that is no other one.
 	 */
 	recordForeign(id: string | undefined): void {
-		this.isForeign = true;
-		this.otherRequest ??= id;
+		this.found = id === undefined ? AnswerDefect.Foreign : AnswerDefect.SecondAnswer;
+		this.otherRequest = id;
 	}
 
 	/**
@@ -97,12 +105,8 @@
 	 * @returns why the body is not whole if it ends now; undefined if it is whole.
 	 */
 	defect(connection: ConnectionState): AnswerDefect | undefined {
-		if (this.hasSecondAnswer) {
-			return AnswerDefect.SecondAnswer;
-		}
-
-		if (this.isForeign) {
-			return AnswerDefect.Foreign;
+		if (this.found !== undefined) {
+			return this.found;
 		}
 
 		if (this.framing === BodyFraming.Unknown) {
--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -18,8 +18,9 @@
 	type BackendNotice,
 	type BackendProtocol,
 } from './backend-protocol.js';
+import {BodyFraming} from './body-framing.js';
 import {ConnectionState, type ConnectionEnds} from './connection-ends.js';
-import {hasHeader, stripHeaders} from './headers.js';
+import {stripHeaders} from './headers.js';
 
 /** Checks whether a request may still be sent, immediately before its first byte is written. */
 export interface WriteGate {
@@ -53,17 +54,12 @@
 	override name = 'AbortedError';
 }
 
-/** The backend server sent a response that does not belong to the request. */
-class ForeignAnswerError extends Error {
-	override name = 'ForeignAnswerError';
-}
-
-/** The body of the answer is not the whole body, or not only that. */
+/** What the backend server sent is not the whole answer to the request, or not only that. */
 class SpoiledAnswerError extends Error {
 	override name = 'SpoiledAnswerError';
 
 	constructor(readonly defect: AnswerDefect) {
-		super(`body of the answer spoiled: ${defect}`);
+		super(`answer spoiled: ${defect}`);
 	}
 }
 
@@ -134,7 +130,7 @@
 		this.check = this.createCheck();
 		if (this.answerKind === AnswerKind.Foreign) {
 			this.recordForeign();
-			controller.abort(new ForeignAnswerError('response does not belong to the request'));
+			controller.abort(new SpoiledAnswerError(AnswerDefect.Foreign));
 			return;
 		}
 
@@ -215,7 +211,7 @@
 	// What goes on behind the length of a body closes the connection.
 	private completeUnlessContinued(): void {
 		if (this.connectionState !== ConnectionState.Open) {
-			this.check?.recordContinued();
+			this.check?.recordSecondAnswer();
 		}
 
 		this.complete(this.defect());
@@ -249,7 +245,7 @@
 			end: AttemptEnd.Answered,
 			status: this.status,
 			headers: stripHeaders(this.headers),
-			body: createStreamBody(stream, this.trailers, isDelimited(this.headers)),
+			body: createStreamBody(stream, this.trailers, this.isDelimited),
 			load: undefined,
 		});
 	}
@@ -276,7 +272,7 @@
 			end: AttemptEnd.Answered,
 			status: this.status,
 			headers: stripHeaders(this.headers),
-			body: createBufferedBody(bytes, this.trailers, isDelimited(this.headers)),
+			body: createBufferedBody(bytes, this.trailers, this.isDelimited),
 			load: undefined,
 		};
 	}
@@ -289,11 +285,8 @@
 
 	private fail(err: Error): void {
 		const isAborted = err instanceof AbortedError;
-		const isForeign = err instanceof ForeignAnswerError;
-		this.end({
-			isFailure: !isAborted,
-			isBroken: !isAborted && !isForeign && !isConnectionSound(err),
-		});
+		const isSound = err instanceof SpoiledAnswerError && err.defect !== AnswerDefect.Cut;
+		this.end({isFailure: !isAborted, isBroken: !isAborted && !isSound});
 		this.stream?.destroy(err);
 		this.deps.resolve(
 			createUnknown(isAborted ? RefusalReason.Canceled : RefusalReason.BackendLost),
@@ -314,6 +307,10 @@
 		return new AnswerCheck({status, headers}, {protocol, method, carriedIds});
 	}
 
+	private get isDelimited(): boolean {
+		return this.check?.framing !== BodyFraming.Connection;
+	}
+
 	private get connectionState(): ConnectionState {
 		return this.connection?.state ?? ConnectionState.Lost;
 	}
@@ -327,15 +324,6 @@
 	}
 }
 
-// RFC 9112, section 6.3: an answer with neither header ends when its connection closes.
-function isDelimited(headers: HeaderList): boolean {
-	return hasHeader(headers, 'content-length') || hasHeader(headers, 'transfer-encoding');
-}
-
-function isConnectionSound(err: Error): boolean {
-	return err instanceof SpoiledAnswerError && err.defect !== AnswerDefect.Cut;
-}
-
 function toHeaderList(raw: Dispatcher.DispatchController['rawHeaders']): HeaderList {
 	const headers: HeaderList = [];
 	if (Array.isArray(raw)) {
--- a/src/executor/body-framing.ts
+++ b/src/executor/body-framing.ts
@@ -1,7 +1,7 @@
 import type {HeaderList} from '../call/index.js';
 import {hasHeader, headerValue} from './headers.js';
 
-/** What marks the end of the body of an answer (RFC 9112, section 6.3). */
+/** What marks the end of the body of an answer, for a node or for its caller (RFC 9112, section 6.3). */
 export enum BodyFraming {
 	/** The head: the answer has no content. */
 	None = 'none',
--- a/src/executor/executor.ts
+++ b/src/executor/executor.ts
@@ -739,22 +739,10 @@
 			return;
 		}
 
-		const {status, defect, framing, bytes, connection, error, otherRequest} = answer;
 		const {requestId: request, route} = head.origin;
 		const backend = this.target?.instance;
-		this.deps.metrics.answersSpoiled.inc({defect});
-		this.deps.logger.log(logEvents.answerSpoiled, {
-			request,
-			route,
-			backend,
-			status,
-			defect,
-			framing,
-			bytes,
-			connection,
-			error,
-			otherRequest,
-		});
+		this.deps.metrics.answersSpoiled.inc({defect: answer.defect});
+		this.deps.logger.log(logEvents.answerSpoiled, {request, route, backend, ...answer});
 	}
 
 	private logEnded(
--- a/src/executor/index.ts
+++ b/src/executor/index.ts
@@ -11,5 +11,5 @@
 	type BackendProtocol,
 } from './backend-protocol.js';
 export {PlaceCheck, type PlaceCheckDependencies} from './place-check.js';
-export {mayHaveContent} from './body-framing.js';
+export {BodyFraming, mayHaveContent} from './body-framing.js';
 export {hasHeader, headerValue, stripHeaders} from './headers.js';
--- a/src/ingress/__tests__/unit/answer-framing.test.ts
+++ b/src/ingress/__tests__/unit/answer-framing.test.ts
@@ -1,12 +1,8 @@
 import {PassThrough} from 'node:stream';
 import {describe, expect, it} from 'vitest';
 import {createBufferedBody, createStreamBody} from '../../../exchange/index.js';
-import {
-	AnswerFraming,
-	chooseFraming,
-	framingHeaders,
-	type FramedAnswer,
-} from '../../answer-framing.js';
+import {BodyFraming} from '../../../executor/index.js';
+import {chooseFraming, framingHeaders, type FramedAnswer} from '../../answer-framing.js';
 
 const buffered = createBufferedBody(new Uint8Array(5));
 const streamed = createStreamBody(new PassThrough(), [], false);
@@ -18,15 +14,15 @@
 
 describe('chooseFraming', () => {
 	it.each([
-		['GET', '1.1', answerOf(), AnswerFraming.Length],
-		['GET', '1.0', answerOf(), AnswerFraming.Length],
-		['GET', '1.1', answerOf(streamed), AnswerFraming.Chunks],
-		['GET', '1.0', answerOf(streamed), AnswerFraming.Connection],
-		['GET', '1.0', answerOf(streamed, 200, ['Content-Length', '9']), AnswerFraming.Length],
-		['GET', '1.1', answerOf(withTrailers), AnswerFraming.Chunks],
-		['GET', '1.0', answerOf(withTrailers), AnswerFraming.Length],
-		['HEAD', '1.0', answerOf(), AnswerFraming.Head],
-		['GET', '1.0', answerOf(buffered, 304), AnswerFraming.Head],
+		['GET', '1.1', answerOf(), BodyFraming.Length],
+		['GET', '1.0', answerOf(), BodyFraming.Length],
+		['GET', '1.1', answerOf(streamed), BodyFraming.Chunks],
+		['GET', '1.0', answerOf(streamed), BodyFraming.Connection],
+		['GET', '1.0', answerOf(streamed, 200, ['Content-Length', '9']), BodyFraming.Length],
+		['GET', '1.1', answerOf(withTrailers), BodyFraming.Chunks],
+		['GET', '1.0', answerOf(withTrailers), BodyFraming.Length],
+		['HEAD', '1.0', answerOf(), BodyFraming.None],
+		['GET', '1.0', answerOf(buffered, 304), BodyFraming.None],
 	])(
 		'marks the end of an answer to %s with HTTP/%s (%j) by %s',
 		(method, httpVersion, answer, framing) => {
@@ -35,10 +31,10 @@
 	);
 
 	it('adds the length only where it marks the end and is not named', () => {
-		expect(framingHeaders(AnswerFraming.Length, answerOf())).toEqual(['content-length', '5']);
+		expect(framingHeaders(BodyFraming.Length, answerOf())).toEqual(['content-length', '5']);
 		const named = answerOf(buffered, 200, ['Content-Length', '5']);
-		expect(framingHeaders(AnswerFraming.Length, named)).toEqual([]);
-		expect(framingHeaders(AnswerFraming.Head, answerOf())).toEqual([]);
-		expect(framingHeaders(AnswerFraming.Chunks, answerOf(streamed))).toEqual([]);
+		expect(framingHeaders(BodyFraming.Length, named)).toEqual([]);
+		expect(framingHeaders(BodyFraming.None, answerOf())).toEqual([]);
+		expect(framingHeaders(BodyFraming.Chunks, answerOf(streamed))).toEqual([]);
 	});
 });
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -29,6 +29,7 @@
 	type Call,
 	type CallEnd,
 } from '../exchange/index.js';
+import {BodyFraming} from '../executor/index.js';
 import {
 	AnswerCut,
 	logEvents,
@@ -38,7 +39,7 @@
 } from '../telemetry/index.js';
 import {bindPort} from '../net/index.js';
 import {withResolvers} from '../util/index.js';
-import {AnswerFraming, chooseFraming, framingHeaders} from './answer-framing.js';
+import {chooseFraming, framingHeaders} from './answer-framing.js';
 import {AnswerWatch} from './answer-watch.js';
 import type {CallQuota} from './call-quota.js';
 import {CallerConnection, ConnectionClosedError, type CallerTurn} from './caller-connection.js';
@@ -234,7 +235,7 @@
 	 */
 	breakOffRemaining(): number {
 		for (const res of this.unmarked) {
-			breakOff(res, AnswerFraming.Connection);
+			breakOff(res, BodyFraming.Connection);
 		}
 
 		return this.answers.reportRemaining();
@@ -571,7 +572,7 @@
 		const {res} = turn;
 		const {stream} = body;
 		const framing = chooseFraming(turn.req, result);
-		if (framing === AnswerFraming.Connection) {
+		if (framing === BodyFraming.Connection) {
 			turn.closeBehind();
 			this.trackUnmarked(res);
 		}
@@ -589,7 +590,7 @@
 			return this.sendReplacement(turn, call, end);
 		}
 
-		res.useChunkedEncodingByDefault = framing !== AnswerFraming.Connection;
+		res.useChunkedEncodingByDefault = framing !== BodyFraming.Connection;
 		const {protocol} = this.deps;
 		const ownHeaders = framingHeaders(framing, result);
 		this.writeHead(res, status, [...headers, ...ownHeaders, ...protocol.answerHeaders(call, end)]);
@@ -605,7 +606,7 @@
 		turn: CallerTurn,
 		call: Call,
 		{stream, trailers}: Body,
-		framing: AnswerFraming,
+		framing: BodyFraming,
 	): Promise<Outcome> {
 		const {res} = turn;
 		const {promise, resolve} = withResolvers<Outcome>();
@@ -811,8 +812,8 @@
 }
 
 // Shows the caller that the answer is truncated.
-function breakOff(res: ServerResponse, framing: AnswerFraming): void {
-	if (framing === AnswerFraming.Connection) {
+function breakOff(res: ServerResponse, framing: BodyFraming): void {
+	if (framing === BodyFraming.Connection) {
 		res.socket?.resetAndDestroy();
 	} else {
 		res.destroy();
--- a/src/link/frame.ts
+++ b/src/link/frame.ts
@@ -127,7 +127,7 @@
 	/** The complete body; undefined when it is streamed in Data frames. */
 	readonly body: Uint8Array | undefined;
 	readonly trailers: HeaderList;
-	/** Whether the backend server marked the end of the body. */
+	/** Whether the backend server marked the end of the body; only nodes of earlier versions read it. */
 	readonly isDelimited: boolean;
 }
 
--- a/src/link/outgoing-attempt.ts
+++ b/src/link/outgoing-attempt.ts
@@ -200,9 +200,9 @@
 			return false;
 		}
 
-		const {status, headers, load, body, trailers, isDelimited} = frame;
+		const {status, headers, load, body, trailers} = frame;
 		if (body) {
-			const whole = createBufferedBody(body, trailers, isDelimited);
+			const whole = createBufferedBody(body, trailers);
 			this.settle({end: AttemptEnd.Answered, status, headers, load, body: whole});
 			this.end();
 			return true;
@@ -213,7 +213,7 @@
 		receiver.once('close', () => {
 			this.abandonBody(receiver);
 		});
-		const streamed = createStreamBody(receiver, receiver.trailers, isDelimited);
+		const streamed = createStreamBody(receiver, receiver.trailers);
 		this.settle({end: AttemptEnd.Answered, status, headers, load, body: streamed});
 		return true;
 	}
