--- a/review/lib-2/consumer.mjs
+++ b/review/lib-2/consumer.mjs
@@ -1,4 +1,3 @@
- 
 /** Stand-in of a consumer: one request on a connection of its own, and what came back. */
 import {Buffer} from 'node:buffer';
 import {connect} from 'node:net';
