--- a/review/lib-2/consumer.mjs
+++ b/review/lib-2/consumer.mjs
@@ -7,15 +7,18 @@
 /**
  * Sends one request and waits for its end.
  * @param target - host and port of the node.
- * @param request - method, host, path, id, deadline in ms and body.
+ * @param request - method, host, path, id, deadline in ms, body, and whether the connection may be kept.
  * @returns when it was sent, when the answer began and ended, its status and signature, and whether it was whole.
  */
-export async function send(target, {method = 'GET', host, path, id, deadline = 2000, body = ''}) {
+export async function send(
+	target,
+	{method = 'GET', host, path, id, deadline = 2000, body = '', isKept = false},
+) {
 	const answer = {id, path, sentAt: performance.now(), status: 0, end: 'deadline', bytes: 0};
 	const length = method === 'GET' ? '' : `Content-Length: ${Buffer.byteLength(body)}\r\n`;
 	const head =
 		`${method} ${path} HTTP/1.1\r\nHost: ${host}\r\nX-Attempt-Id: ${id}\r\n` +
-		`X-Request-Deadline: ${deadline}\r\nConnection: close\r\n${length}\r\n`;
+		`X-Request-Deadline: ${deadline}\r\n${isKept ? '' : 'Connection: close\r\n'}${length}\r\n`;
 	return new Promise((resolve) => {
 		let text = Buffer.alloc(0);
 		let wanted;
