Keep case 6 within the sites' longest garbled answers

Cause: the bytes without end came for 20 s in one piece; the sites garble answers for 5.5 s at most, at any moment and more than once. Done: three times 5.5 s with a second between; case 8 tells what was tried beside it.

--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -8,7 +8,10 @@
 const deadlineMs = 3000;
 const playMs = 30_000;
 const troubleFromMs = 5000;
-const troubleToMs = 25_000;
+/** Three times 5.5 s, as long as the sites' longest garbled answers, with a second between. */
+const troubleTimes = 3;
+const troubleMs = 5500;
+const calmMs = 1000;
 /** Share of the answers that the faulty backend servers, half of all, spoil. */
 const spoiledShare = 0.05;
 /** Requests a second from the consumers of each machine to each service. */
@@ -50,7 +53,9 @@
 	const endless = new Set();
 	let candidates = 0;
 	const spoil = (run, res, finish) => {
-		const isTime = now() >= troubleFromMs && now() < troubleToMs;
+		const time = now() - troubleFromMs;
+		const period = troubleMs + calmMs;
+		const isTime = time >= 0 && time < troubleTimes * period && time % period < troubleMs;
 		if (!isTroubled || !isTime) {
 			return false;
 		}
