--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -53,11 +53,13 @@
 	 */
 	constructor(subnet) {
 		this.subnet = subnet;
-		// Ends the nodes also when the script fails.
+		// Also when the script fails.
 		process.once('exit', () => {
 			for (const node of this.nodes) {
 				node.child?.kill('SIGKILL');
 			}
+
+			rmSync(this.folder, {recursive: true, force: true});
 		});
 	}
 
