Take 408, 421, 429 and 503 of a backend server for a refusal only with its proof

What callers saw: a backend server ran an unsafe request and then answered a bare 503 (or 408 or 429 with the id); the node passed it on, the caller took it for the promise that nothing ran, sent the request again, and it ran twice. After a 421 the node itself did so. Cause: the protocol decided from the class of the status. A 4xx needed the id of the request, a 5xx nothing, and 421 alone was a refusal. Change: one table (answer-table.ts) of status, proof, id, signature, instance and method, used by both protocols, and asked again for each result of an attempt, as peers of earlier versions report such answers. An unsafe request without proof ends as unknown at the head of the answer; a safe one goes to another attempt. A refusal counts at its head and stays one if its body is cut. Why it works: no status that promises something reaches the caller of an unsafe request unless the server stated what it promises.

--- a/bench/fleet/simulated-node.ts
+++ b/bench/fleet/simulated-node.ts
@@ -115,6 +115,7 @@
 			metrics,
 			logger: silentLogger,
 			disabled,
+			promises: new Set(),
 			placement: this.placement,
 			instance: member.id,
 			budgetBursts: () => ({
--- a/src/executor/answer-check.ts
+++ b/src/executor/answer-check.ts
@@ -14,6 +14,8 @@
 	SecondAnswer = 'second-answer',
 	/** Its head is not that of an answer to the request. */
 	Foreign = 'foreign',
+	/** Its status says that the request was not run, and nothing proves that. */
+	Unproven = 'unproven',
 }
 
 /** How the body of an answer has ended, for the log. */
@@ -100,6 +102,11 @@
 		this.otherRequest = id;
 	}
 
+	/** Records that the answer says that the request was not run, and nothing proves that. */
+	recordUnproven(): void {
+		this.found = AnswerDefect.Unproven;
+	}
+
 	/**
 	 * @param connection - state of the connection.
 	 * @returns why the body is not whole if it ends now; undefined if it is whole.
--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -12,12 +12,8 @@
 import {ByteBlocks} from '../util/index.js';
 import {AnswerCheck, AnswerDefect, type AnswerReport} from './answer-check.js';
 import {AnswerStream} from './answer-stream.js';
-import {
-	AnswerKind,
-	type BackendLoad,
-	type BackendNotice,
-	type BackendProtocol,
-} from './backend-protocol.js';
+import {AnswerKind} from './answer-table.js';
+import type {BackendLoad, BackendNotice, BackendProtocol, SentRequest} from './backend-protocol.js';
 import {BodyFraming} from './body-framing.js';
 import {ConnectionState, type ConnectionEnds} from './connection-ends.js';
 import {stripHeaders} from './headers.js';
@@ -69,7 +65,7 @@
 };
 
 export interface BackendCallDependencies {
-	readonly requestId: string;
+	readonly sent: SentRequest;
 	readonly method: string;
 	readonly protocol: BackendProtocol;
 	readonly gate: WriteGate;
@@ -93,6 +89,8 @@
 	private readonly trailers: HeaderList = [];
 	private readonly blocks = new ByteBlocks();
 	private stream: AnswerStream | undefined;
+	/** Bytes of the body of a refusal. */
+	private skippedBytes = 0;
 	private check: AnswerCheck | undefined;
 
 	constructor(private readonly deps: BackendCallDependencies) {}
@@ -110,7 +108,7 @@
 		this.gateReason = this.isCanceled ? RefusalReason.DeadlinePassed : this.deps.gate.check();
 		if (this.gateReason === undefined) {
 			this.isWritten = true;
-			this.connection?.recordRequest(this.deps.requestId);
+			this.connection?.recordRequest(this.deps.sent.requestId);
 		} else {
 			controller.abort(new AbortedError('request refused before its first byte was written'));
 		}
@@ -123,14 +121,12 @@
 
 		this.status = status;
 		this.headers = toHeaderList(controller.rawHeaders);
-		this.answerKind = this.deps.protocol.classify(
-			{status, headers: this.headers},
-			this.deps.requestId,
-		);
+		const {protocol, sent} = this.deps;
+		this.answerKind = protocol.classify({status, headers: this.headers}, sent);
 		this.check = this.createCheck();
-		if (this.answerKind === AnswerKind.Foreign) {
-			this.recordForeign();
-			controller.abort(new SpoiledAnswerError(AnswerDefect.Foreign));
+		const defect = this.headDefect();
+		if (defect !== undefined) {
+			controller.abort(new SpoiledAnswerError(defect));
 			return;
 		}
 
@@ -142,13 +138,24 @@
 		if (load) {
 			this.deps.listener.onLoad(load);
 		}
+
+		// At once, as the request may go elsewhere. A refusal that is cut or goes on without end is one as well.
+		const notRun = notRunReasons[this.answerKind];
+		if (notRun !== undefined) {
+			this.deps.resolve(createRefused(notRun));
+		}
 	}
 
 	// An answer is buffered until it is complete or exceeds the limit, since a truncated answer can be
 	// replaced by another attempt only while none of it has been forwarded.
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
 		this.check?.add(chunk);
-		if (this.check?.hasSecondAnswer && this.answerKind === AnswerKind.Answer) {
+		if (this.answerKind !== AnswerKind.Answer) {
+			this.skipRefusal(controller, chunk.length);
+			return;
+		}
+
+		if (this.check?.hasSecondAnswer) {
 			controller.abort(new SpoiledAnswerError(AnswerDefect.SecondAnswer));
 			return;
 		}
@@ -203,7 +210,7 @@
 		this.end({isFailure: this.status >= serverErrorStatus, isBroken: false});
 		if (this.stream) {
 			this.stream.complete();
-		} else {
+		} else if (this.answerKind === AnswerKind.Answer) {
 			this.deps.resolve(this.createResult());
 		}
 	}
@@ -261,12 +268,15 @@
 		}
 	}
 
-	private createResult(): AttemptResult {
-		const notRun = notRunReasons[this.answerKind];
-		if (notRun !== undefined) {
-			return createRefused(notRun);
+	// Its head says all that matters of it.
+	private skipRefusal(controller: Dispatcher.DispatchController, bytes: number): void {
+		this.skippedBytes += bytes;
+		if (this.skippedBytes > maxInlineBodyBytes) {
+			controller.abort(new AbortedError('body of a refusal too long'));
 		}
+	}
 
+	private createResult(): AttemptResult {
 		const bytes = this.blocks.joinAll();
 		return {
 			end: AttemptEnd.Answered,
@@ -277,10 +287,25 @@
 		};
 	}
 
-	private recordForeign(): void {
-		const {protocol, requestId} = this.deps;
-		const id = protocol.readRequestId(this.headers);
-		this.check?.recordForeign(id === requestId ? undefined : id);
+	// Why what was received is no answer to the request, as far as its head tells.
+	private headDefect(): AnswerDefect | undefined {
+		switch (this.answerKind) {
+			case AnswerKind.Foreign: {
+				const {protocol, sent} = this.deps;
+				const id = protocol.readRequestId(this.headers);
+				this.check?.recordForeign(id === sent.requestId ? undefined : id);
+				return AnswerDefect.Foreign;
+			}
+
+			case AnswerKind.Unproven: {
+				this.check?.recordUnproven();
+				return AnswerDefect.Unproven;
+			}
+
+			default: {
+				return undefined;
+			}
+		}
 	}
 
 	private fail(err: Error): void {
@@ -288,12 +313,11 @@
 		const isSound = err instanceof SpoiledAnswerError && err.defect !== AnswerDefect.Cut;
 		this.end({isFailure: !isAborted, isBroken: !isAborted && !isSound});
 		this.stream?.destroy(err);
-		this.deps.resolve(
-			createUnknown(isAborted ? RefusalReason.Canceled : RefusalReason.BackendLost),
-		);
+		if (notRunReasons[this.answerKind] === undefined) {
+			this.deps.resolve(createUnknown(failureReason(err)));
+		}
 	}
 
-	// The head of a refusal says all that matters of it.
 	private defect(): AnswerDefect | undefined {
 		return this.answerKind === AnswerKind.Answer
 			? this.check?.defect(this.connectionState)
@@ -324,6 +348,16 @@
 	}
 }
 
+function failureReason(err: Error): RefusalReason {
+	if (err instanceof AbortedError) {
+		return RefusalReason.Canceled;
+	}
+
+	// The backend server is still there.
+	const isUnproven = err instanceof SpoiledAnswerError && err.defect === AnswerDefect.Unproven;
+	return isUnproven ? RefusalReason.BackendFailed : RefusalReason.BackendLost;
+}
+
 function toHeaderList(raw: Dispatcher.DispatchController['rawHeaders']): HeaderList {
 	const headers: HeaderList = [];
 	if (Array.isArray(raw)) {
--- a/src/executor/backend-client.ts
+++ b/src/executor/backend-client.ts
@@ -95,9 +95,10 @@
 		const timeLeft = deadline.timeLeft(this.clock.now());
 		const {requestId} = head.origin;
 		const result = await new Promise<AttemptResult>((resolve) => {
-			const {protocol} = this;
-			const {method} = head;
-			const call = new BackendCall({requestId, method, protocol, gate, listener, resolve});
+			const {protocol, target} = this;
+			const {method, isIdempotent} = head;
+			const sent = {requestId, instance: target.instance, isIdempotent};
+			const call = new BackendCall({sent, method, protocol, gate, listener, resolve});
 			cancellation.registerListener(() => {
 				call.cancel();
 			});
--- a/src/executor/backend-protocol.ts
+++ b/src/executor/backend-protocol.ts
@@ -1,26 +1,23 @@
 import type {HeaderList} from '../call/index.js';
 import type {Millis} from '../clock/index.js';
 import type {Attempt} from '../exchange/index.js';
+import {classifyAnswer, NamedId, type AnswerKind} from './answer-table.js';
 import {hasHeader, headerValue} from './headers.js';
 
-/** Classification of a response by its head. */
-export enum AnswerKind {
-	/** The answer to the request. */
-	Answer = 'answer',
-	/** The backend server refused the request before doing any work. */
-	NotRun = 'not-run',
-	/** Another backend server listens at the address and did not run the request. */
-	OtherInstance = 'other-instance',
-	/** Not an answer to this request, or altered in transit. */
-	Foreign = 'foreign',
-}
-
 /** Status and headers of a response. */
 export interface AnswerHead {
 	readonly status: number;
 	readonly headers: HeaderList;
 }
 
+/** The request that a response should answer. */
+export interface SentRequest {
+	readonly requestId: string;
+	/** Instance of the backend server that it was meant for. */
+	readonly instance: string;
+	readonly isIdempotent: boolean;
+}
+
 /** Load as reported by a backend server. */
 export interface BackendLoad {
 	readonly running: number;
@@ -42,6 +39,8 @@
 
 /** Writes and reads the headers exchanged between the node and its backend server. */
 export interface BackendProtocol {
+	/** Statuses that tell a caller that its request was not run. */
+	readonly promises: ReadonlySet<number>;
 	/**
 	 * @param attempt - the attempt to send.
 	 * @param timeLeft - time until the deadline of the attempt, in ms.
@@ -51,10 +50,10 @@
 	requestHeaders(attempt: Attempt, timeLeft: Millis, instance: string): HeaderList;
 	/**
 	 * @param head - head of a response.
-	 * @param requestId - id of the request that was sent.
+	 * @param sent - the request that was sent.
 	 * @returns the kind of the response.
 	 */
-	classify(head: AnswerHead, requestId: string): AnswerKind;
+	classify(head: AnswerHead, sent: SentRequest): AnswerKind;
 	/**
 	 * @param headers - headers of an answer.
 	 * @returns the id of the request that it belongs to; undefined if the headers do not name it.
@@ -99,13 +98,24 @@
 
 /** Turmeric's own protocol between a node and its backend server. */
 export class TurmericBackendProtocol implements BackendProtocol {
+	/** None: callers read a header that says whether a call ran. */
+	readonly promises: ReadonlySet<number> = new Set();
+
 	requestHeaders(attempt: Attempt): HeaderList {
 		return attempt.head.headers;
 	}
 
-	classify({status, headers}: AnswerHead): AnswerKind {
-		const isRefused = status === refusedStatus && hasHeader(headers, refusedBeforeWorkHeader);
-		return isRefused ? AnswerKind.NotRun : AnswerKind.Answer;
+	// Answers name no request and carry no signature; the connection is all that says whose they are.
+	classify({status, headers}: AnswerHead, {isIdempotent}: SentRequest): AnswerKind {
+		const evidence = {
+			status,
+			request: NamedId.Expected,
+			isDeclaredNotRun: status === refusedStatus && hasHeader(headers, refusedBeforeWorkHeader),
+			instance: NamedId.None,
+			isSigned: true,
+			isCoded: false,
+		};
+		return classifyAnswer(evidence, {promises: this.promises, isIdempotent});
 	}
 
 	readRequestId(): string | undefined {
--- a/src/executor/index.ts
+++ b/src/executor/index.ts
@@ -3,12 +3,19 @@
 export {Executor, type CrashWatch, type ExecutorDependencies, type ZoneGuard} from './executor.js';
 export {
 	AnswerKind,
+	classifyAnswer,
+	isUnprovenPromise,
+	NamedId,
+	type AnswerEvidence,
+} from './answer-table.js';
+export {
 	parseNonNegative,
 	TurmericBackendProtocol,
 	type AnswerHead,
 	type BackendLoad,
 	type BackendNotice,
 	type BackendProtocol,
+	type SentRequest,
 } from './backend-protocol.js';
 export {PlaceCheck, type PlaceCheckDependencies} from './place-check.js';
 export {BodyFraming, mayHaveContent} from './body-framing.js';
--- a/src/ingress/__tests__/unit/call-runner.test.ts
+++ b/src/ingress/__tests__/unit/call-runner.test.ts
@@ -75,6 +75,7 @@
 		clock,
 		metrics: new Metrics(),
 		logger: silentLogger,
+		promises: new Set([503]),
 		placement: new NearestFirstPlacement({
 			clock,
 			gossip,
@@ -268,6 +269,18 @@
 		expect(result.end).toBe(AttemptEnd.Answered);
 	});
 
+	// Guards against a report of an earlier version that a caller takes for the promise that nothing ran.
+	it('takes an answer for unknown if it would tell the caller that nothing ran', async () => {
+		const runner = createRunner(2, () => ({...answered, status: 503}));
+		const {result, attempts} = await runner.run(createCall(false));
+		expect({...result, attempts}).toEqual({
+			end: AttemptEnd.Unknown,
+			reason: RefusalReason.BackendFailed,
+			attempts: 1,
+		});
+		expect(await runner.run(createCall(true))).toMatchObject({result: {status: 503}});
+	});
+
 	it('assigns each attempt a unique id', async () => {
 		const ids: number[] = [];
 		const runner = createRunner(4, (attempt) => {
@@ -305,6 +318,7 @@
 			clock,
 			metrics: new Metrics(),
 			logger: silentLogger,
+			promises: new Set([503]),
 			placement,
 			budgetBursts: () => ({retries: 10, hedges: 10}),
 			instance: 'i',
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -13,13 +13,14 @@
 	type Call,
 	type CallEnd,
 } from '../exchange/index.js';
+import {isUnprovenPromise} from '../executor/index.js';
 import {Mechanism, type DisabledMechanisms} from '../experiment/index.js';
 import type {Member} from '../membership/index.js';
 import {callKind, type Placement, type PlacementQuery} from '../routing/index.js';
 import {logEvents, RetryReason, type Logger, type Metrics} from '../telemetry/index.js';
 import {pause} from '../util/index.js';
 import {CallBudgets, type BudgetBursts} from './call-budgets.js';
-import {HedgeRace, type SentAttempt} from './hedge.js';
+import {discardAnswer, HedgeRace, type SentAttempt} from './hedge.js';
 
 export interface CallRunnerDependencies {
 	readonly clock: Clock;
@@ -28,6 +29,8 @@
 	readonly placement: Placement;
 	/** Incarnation of this node. */
 	readonly instance: string;
+	/** Statuses that tell a caller that its request was not run. */
+	readonly promises: ReadonlySet<number>;
 	/** Mechanisms that an experiment switches off. */
 	readonly disabled?: DisabledMechanisms;
 	/** @returns the retry and hedge budgets that this node may accumulate. */
@@ -371,7 +374,8 @@
 		placement.recordSent(query, executor);
 		const startedAt = clock.now();
 		const run = async (): Promise<AttemptResult> => {
-			const result = await this.deps.runnerTo(executor.id).run(attempt);
+			const reported = await this.deps.runnerTo(executor.id).run(attempt);
+			const result = this.withoutUnprovenPromise(call, reported);
 			releaseWithAnswer(result, undo);
 			this.recordEnd(query, executor, result, startedAt);
 			return result;
@@ -380,6 +384,17 @@
 		return {cancellation, result: run()};
 	}
 
+	// Nodes of earlier versions report such answers as they are.
+	private withoutUnprovenPromise({head}: Call, result: AttemptResult): AttemptResult {
+		const {promises} = this.deps;
+		if (!isUnprovenPromise(result, {promises, isIdempotent: head.isIdempotent})) {
+			return result;
+		}
+
+		discardAnswer(result);
+		return createUnknown(RefusalReason.BackendFailed);
+	}
+
 	private createAttempt(
 		call: Call,
 		executor: Member,
--- a/src/ingress/hedge.ts
+++ b/src/ingress/hedge.ts
@@ -55,7 +55,7 @@
 	private finish(attempt: SentAttempt, result: AttemptResult): void {
 		this.open.delete(attempt);
 		if (this.isSettled) {
-			discard(result);
+			discardAnswer(result);
 			return;
 		}
 
@@ -63,7 +63,7 @@
 		const chosen = isSuccess ? result : higherPrecedence(this.fallback, result);
 		for (const rejected of [this.fallback, result]) {
 			if (rejected !== chosen) {
-				discard(rejected);
+				discardAnswer(rejected);
 			}
 		}
 
@@ -80,8 +80,11 @@
 	}
 }
 
-// A body that nobody reads would keep its slot until the deadline.
-function discard(result: AttemptResult | undefined): void {
+/**
+ * Ends an answer that is not needed. A body that nobody reads would keep its slot until the deadline.
+ * @param result - result of an attempt.
+ */
+export function discardAnswer(result: AttemptResult | undefined): void {
 	if (result?.end === AttemptEnd.Answered) {
 		result.body.stream?.destroy();
 	}
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -143,6 +143,7 @@
 			metrics,
 			logger,
 			placement: this.placement,
+			promises: hooks.backendProtocol.promises,
 			disabled: settings.disabled,
 			instance: this.instance,
 			budgetBursts: () => hooks.budgetBursts(),
