--- a/tests/endless-bytes.test.ts
+++ b/tests/endless-bytes.test.ts
@@ -50,6 +50,16 @@
 		piece: chunk,
 	},
 	{name: 'a body without a length', head: `${answerHead}Connection: close\r\n\r\n`, piece: line},
+	{
+		name: 'status lines in a body',
+		head: `${answerHead}Connection: close\r\n\r\n`,
+		piece: 'HTTP/1.1 200 OK\r\n'.repeat(1000),
+	},
+	{
+		name: 'heads in chunks',
+		head: `${answerHead}Transfer-Encoding: chunked\r\n\r\n`,
+		piece: `12c0\r\n${'HTTP/1.1 200 OK\r\nX: 1\r\n\r\n'.repeat(192)}\r\n`,
+	},
 	{
 		name: 'a body longer than its length',
 		head: `${answerHead}Content-Length: 4096\r\n\r\n`,
