Announce trailers to callers only where they can follow

What callers saw: the connection was closed without a byte when a backend server announced trailers, whether or not it sent them, and the node framed the answer without chunks: to HEAD, to callers of HTTP/1.0, and wherever none came. The request had run and its answer was held. Cause: the head of the server's framing was passed on with another framing; writeHead of Node.js throws at `Trailer` without chunks, and the handler of unexpected errors destroys the connection. Change: framedHeaders writes the headers of an answer for the framing that the node has chosen: `Trailer` only with chunks, no length with 204. Trailers that would frame a message are not passed on. Why it works: a head is written for one framing, chosen before it, and a head that the library refuses no longer costs the connection.

--- a/scaffold/mesh/answer-parser.ts
+++ b/scaffold/mesh/answer-parser.ts
@@ -66,7 +66,7 @@
 		}),
 	);
 	const start = end + headEnd.length;
-	if (method === 'HEAD') {
+	if (method === 'HEAD' || status < 200 || status === 204 || status === 304) {
 		return {status, headers, body: bytes.subarray(start, start), size: start};
 	}
 
@@ -76,12 +76,12 @@
 		return {status, headers, body: chunks?.body, size: chunks?.end ?? 0};
 	}
 
-	if (length === undefined && status >= 200 && status !== 204 && status !== 304) {
+	if (length === undefined) {
 		const body = isEnded ? bytes.subarray(start) : undefined;
 		return {status, headers, body, size: isEnded ? bytes.length : 0};
 	}
 
-	const size = start + Number(length ?? 0);
+	const size = start + Number(length);
 	return bytes.length < size
 		? {status, headers, body: undefined, size: 0}
 		: {status, headers, body: bytes.subarray(start, size), size};
--- a/src/ingress/__tests__/unit/answer-framing.test.ts
+++ b/src/ingress/__tests__/unit/answer-framing.test.ts
@@ -2,7 +2,12 @@
 import {describe, expect, it} from 'vitest';
 import {createBufferedBody, createStreamBody} from '../../../exchange/index.js';
 import {BodyFraming} from '../../../executor/index.js';
-import {chooseFraming, framingHeaders, type FramedAnswer} from '../../answer-framing.js';
+import {
+	chooseFraming,
+	forwardableTrailers,
+	framedHeaders,
+	type FramedAnswer,
+} from '../../answer-framing.js';
 
 const buffered = createBufferedBody(new Uint8Array(5));
 const streamed = createStreamBody(new PassThrough(), [], false);
@@ -31,10 +36,32 @@
 	);
 
 	it('adds the length only where it marks the end and is not named', () => {
-		expect(framingHeaders(BodyFraming.Length, answerOf())).toEqual(['content-length', '5']);
+		expect(framedHeaders(BodyFraming.Length, answerOf())).toEqual(['content-length', '5']);
 		const named = answerOf(buffered, 200, ['Content-Length', '5']);
-		expect(framingHeaders(BodyFraming.Length, named)).toEqual([]);
-		expect(framingHeaders(BodyFraming.None, answerOf())).toEqual([]);
-		expect(framingHeaders(BodyFraming.Chunks, answerOf(streamed))).toEqual([]);
+		expect(framedHeaders(BodyFraming.Length, named)).toEqual(['Content-Length', '5']);
+		expect(framedHeaders(BodyFraming.None, answerOf())).toEqual([]);
+		expect(framedHeaders(BodyFraming.Chunks, answerOf(streamed))).toEqual([]);
+	});
+
+	// Guards against a head that the HTTP library throws at, so that the caller's connection closes without an answer.
+	it.each([
+		[BodyFraming.Chunks, ['Trailer', 'x-sum', 'x-a', '1']],
+		[BodyFraming.Length, ['x-a', '1', 'content-length', '5']],
+		[BodyFraming.None, ['x-a', '1']],
+		[BodyFraming.Connection, ['x-a', '1']],
+	])('announces trailers only where they can follow: %s', (framing, headers) => {
+		const announced = answerOf(buffered, 200, ['Trailer', 'x-sum', 'x-a', '1']);
+		expect(framedHeaders(framing, announced)).toEqual(headers);
+	});
+
+	it('names no length for a status without content, and keeps that of what was not modified', () => {
+		const length = ['content-length', '4'];
+		expect(framedHeaders(BodyFraming.None, answerOf(buffered, 204, length))).toEqual([]);
+		expect(framedHeaders(BodyFraming.None, answerOf(buffered, 304, length))).toEqual(length);
+	});
+
+	it('passes on no trailers that frame a message', () => {
+		const trailers = ['X-Sum', '1', 'Content-Length', '4', 'Transfer-Encoding', 'chunked'];
+		expect(forwardableTrailers([...trailers, 'Connection', 'close'])).toEqual([['X-Sum', '1']]);
 	});
 });
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -39,7 +39,7 @@
 } from '../telemetry/index.js';
 import {bindPort} from '../net/index.js';
 import {withResolvers} from '../util/index.js';
-import {chooseFraming, framingHeaders} from './answer-framing.js';
+import {chooseFraming, forwardableTrailers, framedHeaders} from './answer-framing.js';
 import {AnswerWatch} from './answer-watch.js';
 import type {CallQuota} from './call-quota.js';
 import {CallerConnection, ConnectionClosedError, type CallerTurn} from './caller-connection.js';
@@ -568,7 +568,7 @@
 		end: CallEnd,
 		result: AnsweredAttempt,
 	): Promise<Outcome> {
-		const {body, status, headers} = result;
+		const {body, status} = result;
 		const {res} = turn;
 		const {stream} = body;
 		const framing = chooseFraming(turn.req, result);
@@ -592,8 +592,13 @@
 
 		res.useChunkedEncodingByDefault = framing !== BodyFraming.Connection;
 		const {protocol} = this.deps;
-		const ownHeaders = framingHeaders(framing, result);
-		this.writeHead(res, status, [...headers, ...ownHeaders, ...protocol.answerHeaders(call, end)]);
+		const headers = [...framedHeaders(framing, result), ...protocol.answerHeaders(call, end)];
+		if (!this.tryWriteHead(res, status, headers)) {
+			stream?.destroy();
+			const reason = RefusalReason.BackendFailed;
+			return this.sendRefusal(turn, {reason, retryAfter: refusals[reason].retryAfter}, end);
+		}
+
 		if (body.bytes) {
 			res.end(body.bytes);
 			return Outcome.Answered;
@@ -776,6 +781,17 @@
 		);
 	}
 
+	// The HTTP library may refuse a head that a backend server was allowed to send. The caller still gets an answer.
+	private tryWriteHead(res: ServerResponse, status: number, headers: HeaderList): boolean {
+		try {
+			this.writeHead(res, status, headers);
+			return true;
+		} catch (err) {
+			this.deps.logger.log(logEvents.unexpectedError, {error: String(err)});
+			return false;
+		}
+	}
+
 	private writeHead(res: ServerResponse, status: number, headers: HeaderList): void {
 		res.sendDate = !hasDate(headers);
 		res.writeHead(status, headers);
@@ -847,11 +863,7 @@
 }
 
 function addTrailers(res: ServerResponse, trailers: HeaderList): void {
-	const pairs: Array<[string, string]> = [];
-	for (let i = 0; i < trailers.length; i += 2) {
-		pairs.push([trailers[i]!, trailers[i + 1]!]);
-	}
-
+	const pairs = forwardableTrailers(trailers);
 	if (pairs.length > 0) {
 		res.addTrailers(pairs);
 	}
