Take an answer without content for whole at its head

What callers saw: a 304 with a Content-Length, which is allowed, was answered 504 to every GET and POST although it had run, and counted as a crash of the backend server. Cause: undici fails each answer but those to HEAD whose bytes differ from its length, and the node took any error for a lost answer. Change: an error behind the head of an answer without content no longer loses it, unless the node itself has ended the call. Why it works: what marks the end of such an answer is its head, which has come; nothing behind it can change it.

--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -192,6 +192,15 @@
 			return;
 		}
 
+		// undici fails an answer without content whose head names a length, as one to a conditional request may.
+		const isOwn = err instanceof AbortedError || err instanceof SpoiledAnswerError;
+		const isWhole =
+			this.answerKind === AnswerKind.Answer && this.check?.framing === BodyFraming.None;
+		if (isWhole && !isOwn) {
+			this.complete(this.defect());
+			return;
+		}
+
 		this.fail(err);
 	}
 
--- a/tests/conformance.test.ts
+++ b/tests/conformance.test.ts
@@ -16,6 +16,10 @@
 		name: 'announced trailers close no connection of a caller',
 		rows: withContent.filter(({name}) => name.includes('announced trailers')),
 	},
+	{
+		name: 'answers without content reach the caller whatever length their head names',
+		rows: sound.filter(({status}) => noContent.has(status)),
+	},
 	{
 		name: 'sound answers reach the caller in each framing',
 		rows: withContent,
