Take no status outside 200 to 599 for an answer

What callers saw: 600, 700 and 999 of a backend server as answers; 000 and its like never, but only by an assertion of the client library. 102 and 199 with the fields of a whole answer held their call until its time limit. Malformed status lines counted as crashes of the server. Cause: nothing decided what a status may be: below 200 was interim, all else an answer, and each error of the library a lost connection. Change: the table of answers begins with the status; interim answers have no length, coding or signature and are bounded in number and bytes; reports of peers are judged by the same rule. A connection that the node closes because of what it read is rejected, which is no crash. Why it works: an answer has to have the status of one before anything else of it counts, and an attempt without one ends at its head.

--- a/src/executor/answer-check.ts
+++ b/src/executor/answer-check.ts
@@ -16,17 +16,23 @@
 	Foreign = 'foreign',
 	/** Its status says that the request was not run, and nothing proves that. */
 	Unproven = 'unproven',
+	/** Its status is none that an answer may have, or interim answers come without end. */
+	Status = 'status',
+	/** It is no HTTP. */
+	Malformed = 'malformed',
 }
 
 /** How the body of an answer has ended, for the log. */
 export interface AnswerReport {
-	readonly status: number;
-	readonly framing: BodyFraming;
+	/** Undefined if no head was read. */
+	readonly status: number | undefined;
+	/** Undefined if no head was read. */
+	readonly framing: BodyFraming | undefined;
 	/** Bytes of the body that were received. */
 	readonly bytes: number;
 	/** State of the connection at the end of the body. */
 	readonly connection: ConnectionState;
-	/** Code of the error that ended the connection before; undefined if there was none. */
+	/** Code or message of the error that ended the connection before; undefined if there was none. */
 	readonly error: string | undefined;
 	/** Undefined if the body is whole. */
 	readonly defect: AnswerDefect | undefined;
@@ -41,6 +47,22 @@
 	readonly carriedIds: ReadonlySet<string>;
 }
 
+/**
+ * @param error - why it was not read.
+ * @returns the report of an answer whose head could not be read.
+ */
+export function reportMalformed(error: string | undefined): AnswerReport {
+	return {
+		status: undefined,
+		framing: undefined,
+		bytes: 0,
+		connection: ConnectionState.Rejected,
+		error,
+		defect: AnswerDefect.Malformed,
+		otherRequest: undefined,
+	};
+}
+
 /** Decides whether what was received of an answer is its whole body and nothing else. */
 export class AnswerCheck {
 	/** What marks the end of the body. */
@@ -102,9 +124,11 @@
 		this.otherRequest = id;
 	}
 
-	/** Records that the answer says that the request was not run, and nothing proves that. */
-	recordUnproven(): void {
-		this.found = AnswerDefect.Unproven;
+	/**
+	 * @param defect - a defect that the head of the answer shows.
+	 */
+	recordDefect(defect: AnswerDefect): void {
+		this.found = defect;
 	}
 
 	/**
--- a/src/executor/answer-table.ts
+++ b/src/executor/answer-table.ts
@@ -12,6 +12,10 @@
 	Foreign = 'foreign',
 	/** Its status would tell the caller that the request was not run, and nothing proves that. */
 	Unproven = 'unproven',
+	/** Precedes the answer. */
+	Interim = 'interim',
+	/** Its status is none that an answer may have. */
+	Invalid = 'invalid',
 }
 
 /** Whether an id in a response is the expected one. */
@@ -33,6 +37,8 @@
 	readonly instance: NamedId;
 	/** Whether it carries the signature of a backend server. */
 	readonly isSigned: boolean;
+	/** Whether it names a length or a transfer coding. */
+	readonly isFramed: boolean;
 	/** Whether it has a content coding, which no caller requests. */
 	readonly isCoded: boolean;
 }
@@ -44,6 +50,12 @@
 	readonly isIdempotent: boolean;
 }
 
+/** Statuses of answers are from here to below {@link endStatus}. */
+const firstStatus = 200;
+const endStatus = 600;
+const firstInterimStatus = 100;
+/** An upgrade is never requested. */
+const switchingStatus = 101;
 const misdirectedStatus = 421;
 const redirectStatus = 300;
 const clientErrorStatus = 400;
@@ -57,6 +69,10 @@
  */
 export function classifyAnswer(evidence: AnswerEvidence, context: AnswerContext): AnswerKind {
 	const {status, request, instance, isDeclaredNotRun} = evidence;
+	if (!isAnswerStatus(status)) {
+		return isInterim(evidence) ? AnswerKind.Interim : AnswerKind.Invalid;
+	}
+
 	if (request === NamedId.Other) {
 		return AnswerKind.Foreign;
 	}
@@ -80,11 +96,26 @@
 /**
  * @param result - result of an attempt, as its executor reports it.
  * @param context - the request and the protocol of its caller.
- * @returns whether the caller would take the answer for the statement that nothing ran, although it is a result of a run.
+ * @returns whether it is no answer that the caller may get: its status is none of an answer, or tells the caller of a request
+ * that has run that nothing ran.
  */
-export function isUnprovenPromise(result: AttemptResult, context: AnswerContext): boolean {
-	const isAnswered = result.end === AttemptEnd.Answered;
-	return isAnswered && !context.isIdempotent && context.promises.has(result.status);
+export function isUnsoundReport(result: AttemptResult, context: AnswerContext): boolean {
+	if (result.end !== AttemptEnd.Answered) {
+		return false;
+	}
+
+	const isPromise = !context.isIdempotent && context.promises.has(result.status);
+	return isPromise || !isAnswerStatus(result.status);
+}
+
+function isAnswerStatus(status: number): boolean {
+	return Number.isInteger(status) && status >= firstStatus && status < endStatus;
+}
+
+// What only an answer has shows that nothing follows it, so that nobody waits for more.
+function isInterim({status, isFramed, isSigned}: AnswerEvidence): boolean {
+	const isInRange = status >= firstInterimStatus && status < firstStatus;
+	return isInRange && status !== switchingStatus && !isFramed && !isSigned;
 }
 
 function classifyRefusal({status, request, instance}: AnswerEvidence): AnswerKind {
--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -10,13 +10,14 @@
 	type AttemptResult,
 } from '../exchange/index.js';
 import {ByteBlocks} from '../util/index.js';
-import {AnswerCheck, AnswerDefect, type AnswerReport} from './answer-check.js';
+import {AnswerCheck, AnswerDefect, reportMalformed, type AnswerReport} from './answer-check.js';
 import {AnswerStream} from './answer-stream.js';
 import {AnswerKind} from './answer-table.js';
 import type {BackendLoad, BackendNotice, BackendProtocol, SentRequest} from './backend-protocol.js';
 import {BodyFraming} from './body-framing.js';
 import {ConnectionState, type ConnectionEnds} from './connection-ends.js';
 import {stripHeaders} from './headers.js';
+import {InterimAnswers} from './interim-answers.js';
 
 /** Checks whether a request may still be sent, immediately before its first byte is written. */
 export interface WriteGate {
@@ -44,6 +45,11 @@
 }
 
 const serverErrorStatus = 500;
+/** Defects of a backend server that is there and has answered. */
+const servingDefects: ReadonlySet<AnswerDefect> = new Set([
+	AnswerDefect.Unproven,
+	AnswerDefect.Status,
+]);
 
 /** The request was aborted by this node. */
 export class AbortedError extends Error {
@@ -84,6 +90,7 @@
 	private isCanceled = false;
 	private hasConnectionEnded = false;
 	private status = 0;
+	private readonly interim = new InterimAnswers();
 	private answerKind = AnswerKind.Answer;
 	private headers: HeaderList = [];
 	private readonly trailers: HeaderList = [];
@@ -115,14 +122,16 @@
 	}
 
 	onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
-		if (status < 200) {
+		const headers = toHeaderList(controller.rawHeaders);
+		const {protocol, sent} = this.deps;
+		const kind = protocol.classify({status, headers}, sent);
+		if (kind === AnswerKind.Interim && this.interim.accept(headers)) {
 			return;
 		}
 
 		this.status = status;
-		this.headers = toHeaderList(controller.rawHeaders);
-		const {protocol, sent} = this.deps;
-		this.answerKind = protocol.classify({status, headers: this.headers}, sent);
+		this.headers = headers;
+		this.answerKind = kind === AnswerKind.Interim ? AnswerKind.Invalid : kind;
 		this.check = this.createCheck();
 		const defect = this.headDefect();
 		if (defect !== undefined) {
@@ -192,7 +201,7 @@
 			return;
 		}
 
-		// undici fails an answer without content whose head names a length, as one to a conditional request may.
+		// The undici library fails an answer without content whose head names a length, as one to a conditional request may.
 		const isOwn = err instanceof AbortedError || err instanceof SpoiledAnswerError;
 		const isWhole =
 			this.answerKind === AnswerKind.Answer && this.check?.framing === BodyFraming.None;
@@ -307,10 +316,15 @@
 			}
 
 			case AnswerKind.Unproven: {
-				this.check?.recordUnproven();
+				this.check?.recordDefect(AnswerDefect.Unproven);
 				return AnswerDefect.Unproven;
 			}
 
+			case AnswerKind.Invalid: {
+				this.check?.recordDefect(AnswerDefect.Status);
+				return AnswerDefect.Status;
+			}
+
 			default: {
 				return undefined;
 			}
@@ -319,11 +333,13 @@
 
 	private fail(err: Error): void {
 		const isAborted = err instanceof AbortedError;
-		const isSound = err instanceof SpoiledAnswerError && err.defect !== AnswerDefect.Cut;
-		this.end({isFailure: !isAborted, isBroken: !isAborted && !isSound});
+		const defect = err instanceof SpoiledAnswerError ? err.defect : undefined;
+		const isRejected = defect === undefined && this.connectionState === ConnectionState.Rejected;
+		const isSpoiled = defect !== undefined && defect !== AnswerDefect.Cut;
+		this.end({isFailure: !isAborted, isBroken: !isAborted && !isSpoiled && !isRejected});
 		this.stream?.destroy(err);
 		if (notRunReasons[this.answerKind] === undefined) {
-			this.deps.resolve(createUnknown(failureReason(err)));
+			this.deps.resolve(createUnknown(failureReason(err, isRejected)));
 		}
 	}
 
@@ -348,23 +364,29 @@
 		return this.connection?.state ?? ConnectionState.Lost;
 	}
 
+	private report(): AnswerReport | undefined {
+		const error = this.connection?.error;
+		const isRejected = this.connectionState === ConnectionState.Rejected;
+		const malformed = isRejected && this.isWritten ? reportMalformed(error) : undefined;
+		return this.check?.report(this.connectionState, error) ?? malformed;
+	}
+
 	private end(end: BackendCallEnd): void {
 		if (!this.isEnded) {
 			this.isEnded = true;
-			const answer = this.check?.report(this.connectionState, this.connection?.error);
-			this.deps.listener.onEnd({...end, answer});
+			this.deps.listener.onEnd({...end, answer: this.report()});
 		}
 	}
 }
 
-function failureReason(err: Error): RefusalReason {
+function failureReason(err: Error, isRejected: boolean): RefusalReason {
 	if (err instanceof AbortedError) {
 		return RefusalReason.Canceled;
 	}
 
 	// The backend server is still there.
-	const isUnproven = err instanceof SpoiledAnswerError && err.defect === AnswerDefect.Unproven;
-	return isUnproven ? RefusalReason.BackendFailed : RefusalReason.BackendLost;
+	const isServing = err instanceof SpoiledAnswerError && servingDefects.has(err.defect);
+	return isServing || isRejected ? RefusalReason.BackendFailed : RefusalReason.BackendLost;
 }
 
 function toHeaderList(raw: Dispatcher.DispatchController['rawHeaders']): HeaderList {
--- a/src/executor/backend-protocol.ts
+++ b/src/executor/backend-protocol.ts
@@ -2,6 +2,7 @@
 import type {Millis} from '../clock/index.js';
 import type {Attempt} from '../exchange/index.js';
 import {classifyAnswer, NamedId, type AnswerKind} from './answer-table.js';
+import {isFramed} from './body-framing.js';
 import {hasHeader, headerValue} from './headers.js';
 
 /** Status and headers of a response. */
@@ -77,6 +78,8 @@
 }
 
 const refusedStatus = 503;
+/** Lower ones are interim. */
+const firstAnswerStatus = 200;
 
 /** With status 503, marks a request that the backend server refused before doing any work. */
 export const refusedBeforeWorkHeader = 'turmeric-refused';
@@ -112,7 +115,8 @@
 			request: NamedId.Expected,
 			isDeclaredNotRun: status === refusedStatus && hasHeader(headers, refusedBeforeWorkHeader),
 			instance: NamedId.None,
-			isSigned: true,
+			isSigned: status >= firstAnswerStatus,
+			isFramed: isFramed(headers),
 			isCoded: false,
 		};
 		return classifyAnswer(evidence, {promises: this.promises, isIdempotent});
--- a/src/executor/body-framing.ts
+++ b/src/executor/body-framing.ts
@@ -43,3 +43,11 @@
 
 	return hasHeader(headers, 'content-length') ? BodyFraming.Length : BodyFraming.Connection;
 }
+
+/**
+ * @param headers - headers of an answer.
+ * @returns whether they name a length or a transfer coding, which no interim answer has.
+ */
+export function isFramed(headers: HeaderList): boolean {
+	return hasHeader(headers, 'content-length') || hasHeader(headers, 'transfer-encoding');
+}
--- a/src/executor/connection-ends.ts
+++ b/src/executor/connection-ends.ts
@@ -14,6 +14,8 @@
 	Ended = 'ended',
 	/** Reset, or ended in an unknown way. */
 	Lost = 'lost',
+	/** Closed by this node, as what it had read is no HTTP. */
+	Rejected = 'rejected',
 }
 
 /** Handles the end of a connection ahead of undici, which asserts at that time that it isn't paused. */
@@ -28,7 +30,7 @@
 		return this.current;
 	}
 
-	/** Code of the error that ended the connection; undefined if there was none. */
+	/** Code or message of the error that ended the connection; undefined if there was none. */
 	get error(): string | undefined {
 		return this.errorCode;
 	}
@@ -82,8 +84,10 @@
 		this.ids.clear();
 		this.readToEnd = undefined;
 		socket.on('error', (err: NodeJS.ErrnoException) => {
-			this.current = ConnectionState.Lost;
-			this.errorCode = err.code;
+			// Errors of the operating system name the call that has failed.
+			const isRejected = err.syscall === undefined && this.current === ConnectionState.Open;
+			this.current = isRejected ? ConnectionState.Rejected : ConnectionState.Lost;
+			this.errorCode = isRejected ? err.message : err.code;
 			if (err.code === 'ECONNRESET') {
 				err.code = resetCode;
 			}
--- a/src/executor/index.ts
+++ b/src/executor/index.ts
@@ -4,7 +4,7 @@
 export {
 	AnswerKind,
 	classifyAnswer,
-	isUnprovenPromise,
+	isUnsoundReport,
 	NamedId,
 	type AnswerEvidence,
 } from './answer-table.js';
@@ -18,5 +18,5 @@
 	type SentRequest,
 } from './backend-protocol.js';
 export {PlaceCheck, type PlaceCheckDependencies} from './place-check.js';
-export {BodyFraming, mayHaveContent} from './body-framing.js';
+export {BodyFraming, isFramed, mayHaveContent} from './body-framing.js';
 export {hasHeader, headerValue, stripHeaders} from './headers.js';
--- a/src/ingress/call-runner.ts
+++ b/src/ingress/call-runner.ts
@@ -13,7 +13,7 @@
 	type Call,
 	type CallEnd,
 } from '../exchange/index.js';
-import {isUnprovenPromise} from '../executor/index.js';
+import {isUnsoundReport} from '../executor/index.js';
 import {Mechanism, type DisabledMechanisms} from '../experiment/index.js';
 import type {Member} from '../membership/index.js';
 import {callKind, type Placement, type PlacementQuery} from '../routing/index.js';
@@ -375,7 +375,7 @@
 		const startedAt = clock.now();
 		const run = async (): Promise<AttemptResult> => {
 			const reported = await this.deps.runnerTo(executor.id).run(attempt);
-			const result = this.withoutUnprovenPromise(call, reported);
+			const result = this.withoutUnsoundReport(call, reported);
 			releaseWithAnswer(result, undo);
 			this.recordEnd(query, executor, result, startedAt);
 			return result;
@@ -384,10 +384,10 @@
 		return {cancellation, result: run()};
 	}
 
-	// Nodes of earlier versions report such answers as they are.
-	private withoutUnprovenPromise({head}: Call, result: AttemptResult): AttemptResult {
+	// Nodes of earlier versions report such answers of their backend servers as they are.
+	private withoutUnsoundReport({head}: Call, result: AttemptResult): AttemptResult {
 		const {promises} = this.deps;
-		if (!isUnprovenPromise(result, {promises, isIdempotent: head.isIdempotent})) {
+		if (!isUnsoundReport(result, {promises, isIdempotent: head.isIdempotent})) {
 			return result;
 		}
 
--- a/tests/conformance.test.ts
+++ b/tests/conformance.test.ts
@@ -20,6 +20,14 @@
 		name: 'answers without content reach the caller whatever length their head names',
 		rows: sound.filter(({status}) => noContent.has(status)),
 	},
+	{
+		name: 'statuses that no answer has reach no caller, and end the attempt at once',
+		rows: answerRows.filter(({wanted}) => wanted === Wanted.Fault),
+	},
+	{
+		name: 'sound answers reach the caller beside faulty ones, and none counts as a crash',
+		rows: answerRows,
+	},
 	{
 		name: 'sound answers reach the caller in each framing',
 		rows: withContent,
