Acknowledge no leaving of a backend server that has no effect

What callers saw: after one heartbeat of another writer, with the id of a running server, an unknown service and a high sequence, the node answered 200 to the server's leaving and went on sending it requests until it ended; unsafe ones were lost. Cause: a heartbeat counted once its fields could be read; nothing asked whether it can come from the server beside the node, and each one was answered 200, also if it was dropped as out of order. A start keeps its service, and a new one has a service that the settings or the configuration name. Why it works: an announcement that doesn't fit no longer raises the sequence that later ones have to exceed, and a server whose leaving is not obeyed is not told that it is.

--- a/src/node/__tests__/unit/backend-monitor.test.ts
+++ b/src/node/__tests__/unit/backend-monitor.test.ts
@@ -7,10 +7,10 @@
 import {createTestGossip} from '../../../membership/__tests__/test-gossip.js';
 import {Metrics, silentLogger} from '../../../telemetry/index.js';
 import {AnnouncedState, type Announcement} from '../../announcement.js';
-import {BackendMonitor} from '../../backend-monitor.js';
+import {AnnouncementEnd, BackendMonitor} from '../../backend-monitor.js';
 import {ColdMonitor} from '../../cold-monitor.js';
 
-function createFixture(isRestart = false) {
+function createFixture(isRestart = false, ownService = '') {
 	const clock = new ManualClock(1000);
 	const gossip = createTestGossip(clock);
 	const executor: Executor = new Executor({
@@ -48,6 +48,7 @@
 		revisions: new RevisionTracker(),
 		announcementTimeout: 9000,
 		isRestart,
+		ownService,
 	});
 	return {clock, gossip, executor, monitor, coldLimit};
 }
@@ -159,6 +160,44 @@
 		expect(monitor.state).not.toBe(BackendState.Draining);
 	});
 
+	// Guards against an odd announcement by which a node acknowledges that its server leaves, and ignores it.
+	it.each([
+		['an unknown service', {service: 'unknown'}],
+		['another service than its start', {service: 'unknown', ...draining}],
+		['an unknown service, by another instance', {service: 'unknown', instance: 'i-x'}],
+		['an unknown service, without a start', {service: 'unknown', startedAt: undefined}],
+	])('is not changed by an announcement of %s', (_, change) => {
+		const {monitor, executor} = createFixture(false, 's');
+		monitor.handleAnnouncement(createAnnouncement(5, 1));
+		const odd = createAnnouncement(5, 1000, change);
+		expect(monitor.handleAnnouncement(odd)).toBe(AnnouncementEnd.Refused);
+		expect(executor.service).toBe('s');
+		expect(monitor.current).toMatchObject({instance: 'i-5', sequence: 1});
+		const leaving = createAnnouncement(5, 2, draining);
+		expect(monitor.handleAnnouncement(leaving)).toBe(AnnouncementEnd.Accepted);
+		expect(monitor.state).toBe(BackendState.Draining);
+	});
+
+	it('acknowledges no leaving that it does not obey', () => {
+		const {monitor} = createFixture();
+		monitor.handleAnnouncement(createAnnouncement(5, 7));
+		const late = createAnnouncement(5, 6, draining);
+		expect(monitor.handleAnnouncement(late)).toBe(AnnouncementEnd.Refused);
+		const repeated = createAnnouncement(5, 7);
+		expect(monitor.handleAnnouncement(repeated)).toBe(AnnouncementEnd.Superseded);
+		const leaving = createAnnouncement(5, 8, draining);
+		expect(monitor.handleAnnouncement(leaving)).toBe(AnnouncementEnd.Accepted);
+		expect(monitor.handleAnnouncement(leaving)).toBe(AnnouncementEnd.Superseded);
+	});
+
+	it('takes no start of a service that neither the settings nor the configuration name', () => {
+		const {monitor, executor} = createFixture(false, 's');
+		expect(monitor.handleAnnouncement(createAnnouncement(5, 1))).toBe(AnnouncementEnd.Accepted);
+		const other = createAnnouncement(9, 1, {service: 'other'});
+		expect(monitor.handleAnnouncement(other)).toBe(AnnouncementEnd.Refused);
+		expect(executor.service).toBe('s');
+	});
+
 	it('accepts a new start of the same instance whose sequence numbers begin again', () => {
 		const {monitor, gossip} = createFixture();
 		monitor.handleAnnouncement(createAnnouncement(5, 9, {instance: 'i-same'}));
--- a/src/node/backend-monitor.ts
+++ b/src/node/backend-monitor.ts
@@ -21,6 +21,17 @@
 	readonly announcementTimeout?: Millis;
 	/** Whether this process replaces one that may have processed later announcements. */
 	readonly isRestart: boolean;
+	/** Service of the backend server by the settings; empty if they don't name it. */
+	readonly ownService: string;
+}
+
+/** What becomes of an announcement. */
+export enum AnnouncementEnd {
+	Accepted = 'accepted',
+	/** Late or repeated: what it says is known, or no longer true. */
+	Superseded = 'superseded',
+	/** It has no effect, so that its sender must not take it for acknowledged. */
+	Refused = 'refused',
 }
 
 const checkPeriod: Millis = 400;
@@ -74,17 +85,25 @@
 	/**
 	 * Handles an announcement: attaches a new backend server, or updates the state of the known one.
 	 * @param announcement - the announcement; it may be late, repeated or out of order.
+	 * @returns what has become of it.
 	 */
-	handleAnnouncement(announcement: Announcement): void {
+	handleAnnouncement(announcement: Announcement): AnnouncementEnd {
+		const misfit = this.reasonToRefuse(announcement);
+		if (misfit !== undefined) {
+			this.logIgnored(announcement, misfit);
+			return AnnouncementEnd.Refused;
+		}
+
 		if (this.isNodeDraining) {
-			return;
+			return AnnouncementEnd.Superseded;
 		}
 
 		const reason = this.reasonToIgnore(announcement);
 		if (reason !== undefined) {
-			const {instance, state, sequence} = announcement;
-			this.deps.logger.log(logEvents.announcementRejected, {instance, state, sequence, reason});
-			return;
+			this.logIgnored(announcement, reason);
+			// A leaving is acknowledged only if no more requests are sent.
+			const isLeaving = announcement.state === AnnouncedState.Draining;
+			return isLeaving && this.isServing ? AnnouncementEnd.Refused : AnnouncementEnd.Superseded;
 		}
 
 		if (!this.isConfirmed(announcement)) {
@@ -96,7 +115,7 @@
 				this.unconfirmed = announcement;
 			}
 
-			return;
+			return AnnouncementEnd.Accepted;
 		}
 
 		const previous = this.announcement;
@@ -118,6 +137,7 @@
 		}
 
 		this.applyLimits();
+		return AnnouncementEnd.Accepted;
 	}
 
 	/**
@@ -172,6 +192,30 @@
 		this.drain();
 	}
 
+	private get isServing(): boolean {
+		return this.state === BackendState.Warming || this.state === BackendState.Serving;
+	}
+
+	// What fits no backend server that may be here changes nothing for the one that is.
+	private reasonToRefuse(announcement: Announcement): string | undefined {
+		const {service} = announcement;
+		const known = this.announcement;
+		const isKnownStart = known !== undefined && isSameStart(known, announcement);
+		if (isKnownStart) {
+			return known.service === service ? undefined : 'of another service than its start';
+		}
+
+		const {revisions, ownService} = this.deps;
+		const isConfigured = revisions.inForce?.service(service) !== undefined;
+		const mayBeConfigured = ownService === '' && !revisions.inForce;
+		const isKnown = service === ownService || isConfigured || mayBeConfigured;
+		return isKnown ? undefined : 'of an unknown service';
+	}
+
+	private logIgnored({instance, state, sequence}: Announcement, reason: string): void {
+		this.deps.logger.log(logEvents.announcementRejected, {instance, state, sequence, reason});
+	}
+
 	// Announcements cross a network and can arrive late, twice or out of order.
 	private reasonToIgnore(announcement: Announcement): string | undefined {
 		if (isSameStart(this.departed, announcement)) {
--- a/src/wiring/node-core.ts
+++ b/src/wiring/node-core.ts
@@ -135,6 +135,7 @@
 			cold: this.cold,
 			announcementTimeout: hooks.announcementTimeout,
 			isRestart: hooks.isRestart,
+			ownService: settings.backend.service,
 		});
 		this.hub = this.createHub();
 		this.placement = hooks.createPlacement(this);
--- a/tests/odd-entries.test.ts
+++ b/tests/odd-entries.test.ts
@@ -31,6 +31,14 @@
 const oddHeartbeats: ReadonlyArray<Record<string, unknown>> = [
 	{address: `${meshNetwork}.62.11:99999`},
 	{address: `${meshNetwork}.62.11:0`},
+	{info: {service: 'gamma', version: 'v1', zone: 'z', slots: 4}},
+	{
+		info: {service: 'gamma', version: 'v1', zone: 'z', slots: 4},
+		status: {state: 'draining', sequence: 1e6, cold_remaining_ms: 0},
+	},
+	{info: {service: 'alpha', zone: 'z', slots: 4}},
+	{info: {service: 'alpha', version: 1, zone: 'z', slots: 4}},
+	{info: {service: 'alpha', version: 'v1', zone: null, slots: 4}},
 	{info: {service: 'alpha', version: 'v1', zone: 'z', slots: 1e15}},
 	{info: {service: 'alpha', version: 'v1', zone: 'z', slots: 2 ** 32}},
 	{info: {service: 's'.repeat(30_000), version: 'v1', zone: 'z', slots: 4}},
@@ -102,4 +110,25 @@
 		await expectService();
 		expect([...errors(alpha), ...errors(beta)]).toEqual([]);
 	});
+
+	// Guards against a node that acknowledges that its server leaves, and goes on sending it requests. Last, as the server
+	// does not come back.
+	it('do not keep a node from obeying that its server leaves', async () => {
+		const {backend} = alpha;
+		const acks: unknown[] = [];
+		for (const fields of oddHeartbeats) {
+			const status = {state: 'ready', sequence: 1e6, cold_remaining_ms: 0};
+			acks.push(await backend.heartbeat({status, ...fields}));
+		}
+
+		expect(acks.filter((status) => status === 200)).toEqual([]);
+		backend.state = 'draining';
+		expect(await backend.heartbeat()).toBe(200);
+		const before = backend.seen.length;
+		for (let i = 0; i < 20; i += 1) {
+			await mesh.statusFor(beta, {path: '/a/left'});
+		}
+
+		expect(backend.seen).toHaveLength(before);
+	});
 });
