Read no health answer with a status that no answer has

Cause: the probe read notices and figures whatever the status was. Change: it asks the same table as answers to requests. A late leaving of an earlier start is acknowledged again: nothing is sent to that start. Why it works: one rule decides for both paths what is an answer.

--- a/src/executor/answer-table.ts
+++ b/src/executor/answer-table.ts
@@ -108,7 +108,11 @@
 	return isPromise || !isAnswerStatus(result.status);
 }
 
-function isAnswerStatus(status: number): boolean {
+/**
+ * @param status - number of a status line.
+ * @returns whether an answer may have it.
+ */
+export function isAnswerStatus(status: number): boolean {
 	return Number.isInteger(status) && status >= firstStatus && status < endStatus;
 }
 
--- a/src/executor/index.ts
+++ b/src/executor/index.ts
@@ -4,6 +4,7 @@
 export {
 	AnswerKind,
 	classifyAnswer,
+	isAnswerStatus,
 	isUnsoundReport,
 	NamedId,
 	type AnswerEvidence,
--- a/src/node/__tests__/unit/backend-monitor.test.ts
+++ b/src/node/__tests__/unit/backend-monitor.test.ts
@@ -183,6 +183,8 @@
 		monitor.handleAnnouncement(createAnnouncement(5, 7));
 		const late = createAnnouncement(5, 6, draining);
 		expect(monitor.handleAnnouncement(late)).toBe(AnnouncementEnd.Refused);
+		const earlier = createAnnouncement(4, 9, draining);
+		expect(monitor.handleAnnouncement(earlier)).toBe(AnnouncementEnd.Superseded);
 		const repeated = createAnnouncement(5, 7);
 		expect(monitor.handleAnnouncement(repeated)).toBe(AnnouncementEnd.Superseded);
 		const leaving = createAnnouncement(5, 8, draining);
--- a/src/node/backend-monitor.ts
+++ b/src/node/backend-monitor.ts
@@ -101,9 +101,10 @@
 		const reason = this.reasonToIgnore(announcement);
 		if (reason !== undefined) {
 			this.logIgnored(announcement, reason);
-			// A leaving is acknowledged only if no more requests are sent.
+			// A leaving is acknowledged only if no more requests are sent to that start.
 			const isLeaving = announcement.state === AnnouncedState.Draining;
-			return isLeaving && this.isServing ? AnnouncementEnd.Refused : AnnouncementEnd.Superseded;
+			const isSent = this.isServing && isSameStart(this.announcement, announcement);
+			return isLeaving && isSent ? AnnouncementEnd.Refused : AnnouncementEnd.Superseded;
 		}
 
 		if (!this.isConfirmed(announcement)) {
--- a/src/node/backend-probe.ts
+++ b/src/node/backend-probe.ts
@@ -2,7 +2,7 @@
 import {TokenBucket} from '../budget/index.js';
 import {second, type Clock, type Millis} from '../clock/index.js';
 import type {RevisionTracker} from '../declaration/index.js';
-import type {BackendNotice, BackendProtocol} from '../executor/index.js';
+import {isAnswerStatus, type BackendNotice, type BackendProtocol} from '../executor/index.js';
 import {formatEndpoint} from '../settings/index.js';
 import type {Metrics} from '../telemetry/index.js';
 import {pause} from '../util/index.js';
@@ -180,6 +180,10 @@
 				signal: AbortSignal.timeout(probeTimeout),
 			});
 			await res.body.dump();
+			if (!isAnswerStatus(res.statusCode)) {
+				throw new Error(`unexpected HTTP status ${res.statusCode}`);
+			}
+
 			const headers = toHeaderList(res.headers);
 			const instance = protocol.readInstance(headers) ?? target.instance;
 			executor.readNotice(instance, protocol.readNotice(headers), startedAt);
