Share what the conformance run wrote again

Cause: it had a shuffle and an escape of its own beside sample() and that of the replay's page, and skipped interim answers that no node passes on. Done: sample(), one escapeHtml, and an interim answer that reaches a caller now counts as not wanted; constants name their units.

--- a/scaffold/conformance/conformance-run.ts
+++ b/scaffold/conformance/conformance-run.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {createRandom, type Random} from '../../src/random/index.js';
+import {createRandom, sample, type Random} from '../../src/random/index.js';
 import {parseAnswer, type ParsedAnswer} from '../mesh/answer-parser.js';
 import type {Behavior} from '../mesh/mesh-backend.js';
 import {eventually, type Mesh, type MeshNode} from '../mesh/mesh.js';
@@ -16,11 +16,15 @@
 	readonly seen: string;
 }
 
+/** Time limit of a request, in ms. */
 const deadline = 3000;
+/** How long a caller waits for the end of its connection, in ms. */
 const idleLimit = 4000;
+/** Requests at the same time. */
 const parallel = 12;
 /** Most ms from a request to the end of a call whose answer is a fault. */
 const maxFaultTime = 500;
+/** Sizes of bodies, in bytes. */
 const smallBytes = 40;
 /** Above what a node holds before it passes an answer on. */
 const largeBytes = 70_000;
@@ -73,7 +77,7 @@
 	 */
 	async play(count: number, rows = answerRows): Promise<void> {
 		const rounds = Math.ceil(count / rows.length);
-		const left = Array.from({length: rounds}, () => this.shuffled(rows))
+		const left = Array.from({length: rounds}, () => sample(rows, rows.length, this.random))
 			.flat()
 			.slice(0, count);
 		const workers = Array.from({length: parallel}, async () => {
@@ -141,7 +145,7 @@
 		}, idleLimit);
 		await caller.closed;
 		clearTimeout(timer);
-		return parseAnswer(withoutInterim(caller.received), true, method);
+		return parseAnswer(caller.received, true, method);
 	}
 
 	private compare(
@@ -182,31 +186,12 @@
 
 		return elapsed > maxFaultTime ? `ended after ${Math.round(elapsed)} ms` : undefined;
 	}
-
-	private shuffled(rows: readonly AnswerRow[]): AnswerRow[] {
-		const list = [...rows];
-		for (let i = list.length - 1; i > 0; i -= 1) {
-			const j = this.random.below(i + 1);
-			[list[i], list[j]] = [list[j]!, list[i]!];
-		}
-
-		return list;
-	}
 }
 
 function bodyOf(id: string, size: number): Buffer {
 	return Buffer.alloc(size, `body of ${id}\n`);
 }
 
-function withoutInterim(bytes: Buffer): Buffer {
-	let rest = bytes;
-	while (/^HTTP\/1\.1 1\d\d/v.test(rest.subarray(0, 12).toString('latin1'))) {
-		rest = rest.subarray(rest.indexOf('\r\n\r\n') + 4);
-	}
-
-	return rest;
-}
-
 function describe(answer: ParsedAnswer | undefined): string {
 	if (!answer) {
 		return 'closed';
--- a/scaffold/conformance/conformance.ts
+++ b/scaffold/conformance/conformance.ts
@@ -4,22 +4,21 @@
  */
 import {mkdirSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
+import {escapeHtml} from '../escape-html.js';
 import {Mesh} from '../mesh/mesh.js';
 import {ConformanceRun, type Exchange} from './conformance-run.js';
 
 const [count = '10000', seed = '20261207'] = process.argv.slice(2);
 const reportFile = 'reports/conformance.html';
 
-function escape(text: string): string {
-	return text.replaceAll('&', '&amp;').replaceAll('<', '&lt;');
-}
-
 /** A page with one line for each row: what is wanted, what was seen, how often. */
 function createReport(exchanges: readonly Exchange[]): string {
 	const lines = new Map<string, {times: number; isBroken: boolean}>();
 	for (const {row, kind, seen, violation} of exchanges) {
 		const result = violation === undefined ? seen : `${seen}: ${violation}`;
-		const cells = [row.name, kind, row.wanted, result].map((cell) => `<td>${escape(cell)}</td>`);
+		const cells = [row.name, kind, row.wanted, result].map(
+			(cell) => `<td>${escapeHtml(cell)}</td>`,
+		);
 		const line = cells.join('');
 		const {times = 0} = lines.get(line) ?? {};
 		lines.set(line, {times: times + 1, isBroken: violation !== undefined});
--- a/scaffold/replay/html-report.ts
+++ b/scaffold/replay/html-report.ts
@@ -5,6 +5,7 @@
 	percentilesOf,
 	type CallerEntry,
 } from '../../src/replay/index.js';
+import {escapeHtml} from '../escape-html.js';
 import type {RunResult} from './trace-runner.js';
 
 const width = 900;
@@ -17,10 +18,6 @@
 	broken: '#444',
 };
 
-function escape(text: string): string {
-	return text.replaceAll('&', '&amp;').replaceAll('<', '&lt;');
-}
-
 function scaleX(at: number, end: number): number {
 	return margin + (at / end) * (width - 2 * margin);
 }
@@ -43,7 +40,7 @@
 	);
 	const marks = faults.map((fault) => {
 		const x = scaleX(fault.at, end);
-		return `<line x1="${x}" x2="${x}" y1="10" y2="${height - margin}" stroke="#b3261e" stroke-dasharray="3"/><text x="${x + 2}" y="18" font-size="9">${escape(`${fault.fault} ${fault.target}`)}</text>`;
+		return `<line x1="${x}" x2="${x}" y1="10" y2="${height - margin}" stroke="#b3261e" stroke-dasharray="3"/><text x="${x + 2}" y="18" font-size="9">${escapeHtml(`${fault.fault} ${fault.target}`)}</text>`;
 	});
 	return `<svg width="${width}" height="${height}">${[...lines, ...dots, ...marks].join('')}</svg>`;
 }
@@ -66,7 +63,7 @@
 			const shade = (count / most).toFixed(2);
 			return `<rect x="${160 + i * 12}" y="${row * 16}" width="11" height="14" fill="rgba(42,127,63,${shade})"><title>${count}</title></rect>`;
 		});
-		return `<text x="0" y="${row * 16 + 11}" font-size="10">${escape(name)}</text>${cells.join('')}`;
+		return `<text x="0" y="${row * 16 + 11}" font-size="10">${escapeHtml(name)}</text>${cells.join('')}`;
 	});
 	return `<svg width="${width}" height="${names.length * 16 + 4}">${rows.join('')}</svg>`;
 }
@@ -76,7 +73,7 @@
 	rows: ReadonlyArray<ReadonlyArray<number | string>>,
 ): string {
 	const cells = (row: ReadonlyArray<number | string>, tag: string) =>
-		row.map((cell) => `<${tag}>${escape(String(cell))}</${tag}>`).join('');
+		row.map((cell) => `<${tag}>${escapeHtml(String(cell))}</${tag}>`).join('');
 	const body = rows.map((row) => `<tr>${cells(row, 'td')}</tr>`).join('');
 	return `<table><tr>${cells(head, 'th')}</tr>${body}</table>`;
 }
@@ -121,9 +118,9 @@
 		((count / end) * 1000).toFixed(0),
 	]);
 	return [
-		`<!doctype html><html lang="en"><meta charset="utf-8"><title>${escape(title)}</title>`,
+		`<!doctype html><html lang="en"><meta charset="utf-8"><title>${escapeHtml(title)}</title>`,
 		'<style>body{font:14px sans-serif;margin:2em}td,th{padding:2px 8px;text-align:left}</style>',
-		`<h1>${escape(title)}</h1>`,
+		`<h1>${escapeHtml(title)}</h1>`,
 		`<p>answered in time: ${(goodput(books.callers) * 100).toFixed(2)} %; attempts a call: ${(attempts / Math.max(1, books.callers.length)).toFixed(2)}</p>`,
 		`<h2>What must always hold</h2>${table(['', 'invariant', 'checked', 'broken'], invariants)}`,
 		`<h2>Latency over time</h2>${latencyPlot(result, end)}`,
