Skip interim answers with status 100 that no request asked for

Callers saw 504 for each unsafe request whose backend server wrote "100 Continue" ahead of its answer, although it had run; a safe one ran again at another server. The health path of such a server counted as silent.

Cause: undici closes a connection at a 100, as it never sends Expect. RFC 9110, section 15.2, lets a client skip it.

ContinueFilter takes them out of what undici reads, between a request and the head of its answer; whether one may be skipped is asked of the table and the bounds of all interim answers. The health probe and the search for a running server read through it as well.

Nothing wrong gets through: with a length, a signature, no end or 101 of them the attempt ends as before.

--- a/scaffold/conformance/answer-row.ts
+++ b/scaffold/conformance/answer-row.ts
@@ -84,6 +84,12 @@
 	{name: 'length and close', head: (body) => `${length(body)}Connection: close\r\n`},
 	{name: 'early hints', head: length, interim: 'HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\n'},
 	{name: 'interim answers', head: length, interim: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(3)},
+	{name: 'continue', head: length, interim: 'HTTP/1.1 100 Continue\r\n\r\n'},
+	{
+		name: 'interim answers of all kinds',
+		head: length,
+		interim: `HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\n${'HTTP/1.1 100 Go\r\nX-A: 1\r\n\r\n'.repeat(2)}`,
+	},
 	{name: 'unknown interim answer', head: length, interim: 'HTTP/1.1 199 Other\r\n\r\n'},
 	{name: 'no reason phrase', head: length, reason: ''},
 	{
@@ -114,7 +120,7 @@
 /** Status lines that begin no answer. */
 const badStatuses = [...otherNumbers, ...noNumbers];
 /** Interim statuses with what only an answer has. */
-const interimStatuses = ['102', '199'];
+const interimStatuses = ['100', '102', '199'];
 
 function hasContent(method: string, status: string): boolean {
 	return method !== 'HEAD' && status !== '204' && status !== '304';
--- a/src/executor/backend-call.ts
+++ b/src/executor/backend-call.ts
@@ -44,6 +44,7 @@
 	onEnd(end: BackendCallEnd): void;
 }
 
+const continueStatus = 100;
 const serverErrorStatus = 500;
 /** Defects of a backend server that is there and has answered. */
 const servingDefects: ReadonlySet<AnswerDefect> = new Set([
@@ -115,7 +116,7 @@
 		this.gateReason = this.isCanceled ? RefusalReason.DeadlinePassed : this.deps.gate.check();
 		if (this.gateReason === undefined) {
 			this.isWritten = true;
-			this.connection?.recordRequest(this.deps.sent.requestId);
+			this.connection?.recordRequest(this.deps.sent.requestId, this.acceptContinue);
 		} else {
 			controller.abort(new AbortedError('request refused before its first byte was written'));
 		}
@@ -123,8 +124,7 @@
 
 	onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
 		const headers = toHeaderList(controller.rawHeaders);
-		const {protocol, sent} = this.deps;
-		const kind = protocol.classify({status, headers}, sent);
+		const kind = this.classify(status, headers);
 		if (kind === AnswerKind.Interim && this.interim.accept(headers)) {
 			return;
 		}
@@ -219,6 +219,13 @@
 		this.controller?.abort(new AbortedError('canceled'));
 	}
 
+	private readonly acceptContinue = (headers: HeaderList): boolean =>
+		this.classify(continueStatus, headers) === AnswerKind.Interim && this.interim.accept(headers);
+
+	private classify(status: number, headers: HeaderList): AnswerKind {
+		return this.deps.protocol.classify({status, headers}, this.deps.sent);
+	}
+
 	private complete(defect: AnswerDefect | undefined): void {
 		if (defect !== undefined) {
 			this.fail(new SpoiledAnswerError(defect));
--- a/src/executor/connection-ends.ts
+++ b/src/executor/connection-ends.ts
@@ -1,6 +1,8 @@
 import type {Socket} from 'node:net';
 import {buildConnector} from 'undici';
+import type {HeaderList} from '../call/index.js';
 import type {Millis} from '../clock/index.js';
+import {ContinueFilter, stripReads} from './continue-filter.js';
 
 /** Replaces the code ECONNRESET, which undici treats as the end of an answer on a connection that is not kept alive. */
 const resetCode = 'TURMERIC_RESET';
@@ -24,6 +26,7 @@
 	private current = ConnectionState.Lost;
 	private errorCode: string | undefined;
 	private readonly ids = new Set<string>();
+	private answers = new ContinueFilter();
 
 	/** State of the connection. */
 	get state(): ConnectionState {
@@ -42,8 +45,10 @@
 
 	/**
 	 * @param id - id of a request that is about to be written.
+	 * @param acceptContinue - returns whether an interim answer with status 100 and these headers may precede its answer.
 	 */
-	recordRequest(id: string): void {
+	recordRequest(id: string, acceptContinue: (headers: HeaderList) => boolean): void {
+		this.answers.expectAnswer(acceptContinue);
 		this.ids.add(id);
 		if (this.ids.size > maxCarriedIds) {
 			const [oldest] = this.ids;
@@ -83,6 +88,8 @@
 		this.errorCode = undefined;
 		this.ids.clear();
 		this.readToEnd = undefined;
+		this.answers = new ContinueFilter();
+		stripReads(socket, this.answers);
 		socket.on('error', (err: NodeJS.ErrnoException) => {
 			// Errors of the operating system name the call that has failed.
 			const isRejected = err.syscall === undefined && this.current === ConnectionState.Open;
--- a/src/executor/index.ts
+++ b/src/executor/index.ts
@@ -18,6 +18,7 @@
 	type BackendProtocol,
 	type SentRequest,
 } from './backend-protocol.js';
+export {createHealthConnector} from './health-connector.js';
 export {PlaceCheck, type PlaceCheckDependencies} from './place-check.js';
 export {BodyFraming, isFramed, mayHaveContent} from './body-framing.js';
 export {hasHeader, headerValue, stripHeaders} from './headers.js';
--- a/src/node/backend-finder.ts
+++ b/src/node/backend-finder.ts
@@ -1,7 +1,7 @@
 import {Agent} from 'undici';
 import {second, type Clock, type Millis} from '../clock/index.js';
 import type {RevisionTracker} from '../declaration/index.js';
-import type {BackendProtocol} from '../executor/index.js';
+import {createHealthConnector, type BackendProtocol} from '../executor/index.js';
 import {formatEndpoint, type Endpoint} from '../settings/index.js';
 import {logEvents, type Logger} from '../telemetry/index.js';
 import {AnnouncedState} from './announcement.js';
@@ -35,7 +35,7 @@
  * the node need not wait for the next announcement.
  */
 export class BackendFinder {
-	private readonly agent = new Agent({connections: 1});
+	private readonly agent = new Agent({connections: 1, connect: createHealthConnector()});
 
 	constructor(private readonly deps: BackendFinderDependencies) {}
 
--- a/src/node/backend-probe.ts
+++ b/src/node/backend-probe.ts
@@ -2,7 +2,12 @@
 import {TokenBucket} from '../budget/index.js';
 import {second, type Clock, type Millis} from '../clock/index.js';
 import type {RevisionTracker} from '../declaration/index.js';
-import {isAnswerStatus, type BackendNotice, type BackendProtocol} from '../executor/index.js';
+import {
+	createHealthConnector,
+	isAnswerStatus,
+	type BackendNotice,
+	type BackendProtocol,
+} from '../executor/index.js';
 import {formatEndpoint} from '../settings/index.js';
 import type {Metrics} from '../telemetry/index.js';
 import {pause} from '../util/index.js';
@@ -92,7 +97,7 @@
  */
 export class BackendProbe {
 	private readonly budget: TokenBucket;
-	private readonly agent = new Agent({connections: 1});
+	private readonly agent = new Agent({connections: 1, connect: createHealthConnector()});
 	private pending: Promise<void> | undefined;
 	private isScheduled = false;
 	/** Time until which calls trigger no probe, as the last one failed or reported no speed. */
