Let the health path contradict late heartbeats after a restart

Cause: a node that has started again takes a second, later heartbeat for the proof that the server runs, while the health path answers 503.

Heartbeats of an instance whose health path answers 503 don't count until a running server would have been heard for six heartbeats, the health path answers 200, or a new instance announces itself.

What it costs: a sound server whose health path is wrong is back after six heartbeats instead of two.

--- a/scaffold/mesh/mesh-backend.ts
+++ b/scaffold/mesh/mesh-backend.ts
@@ -40,6 +40,8 @@
 	work = 5;
 	state = 'ready';
 	isHealthy = true;
+	/** Requests to its health path. */
+	healthQueries = 0;
 	/** Headers that it adds to all its answers. */
 	notices: Readonly<Record<string, string>> = {};
 	/** Time as of `performance.now()` until which it is cold. */
@@ -155,6 +157,7 @@
 		const {instance} = this.identity;
 		const load = {'x-server-load': '0,0,4,100', 'x-instance-id': instance, ...this.notices};
 		if (req.url === '/health') {
+			this.healthQueries += 1;
 			const cold = {'x-cold-remaining': String(this.coldLeft)};
 			res.writeHead(this.isHealthy ? 200 : 503, {...load, ...cold}).end();
 			return;
--- a/src/node/__tests__/unit/backend-monitor.test.ts
+++ b/src/node/__tests__/unit/backend-monitor.test.ts
@@ -119,6 +119,37 @@
 		expect(probed.monitor.state).not.toBe(BackendState.Absent);
 	});
 
+	// Guards against requests to a backend server that left before the node restarted, by two late announcements.
+	it('attaches no backend server by late announcements while its health path tells that it takes no requests', () => {
+		const {monitor} = createFixture(true);
+		monitor.handleUnready('i-5');
+		monitor.handleAnnouncement(createAnnouncement(5, 2));
+		monitor.handleAnnouncement(createAnnouncement(5, 3));
+		expect(monitor.state).toBe(BackendState.Absent);
+		expect(monitor.isInDoubt).toBe(true);
+		monitor.handleAnnouncement(createAnnouncement(6, 2));
+		monitor.handleAnnouncement(createAnnouncement(6, 3));
+		expect(monitor.current?.instance).toBe('i-6');
+	});
+
+	// Guards against a sound backend server that stays out of use because its health path is wrong.
+	it.each([
+		['goes on announcing', {}, 9001],
+		['is found by its health path', {startedAt: undefined, sequence: undefined}, 0],
+		['leaves', draining, 0],
+	])('hears a backend server that %s after its health path refused', (_, change, delay) => {
+		const {monitor, clock} = createFixture(true);
+		monitor.handleUnready('i-5');
+		monitor.handleAnnouncement(createAnnouncement(5, 2));
+		monitor.handleAnnouncement(createAnnouncement(5, 3));
+		clock.advance(delay);
+		expect(monitor.handleAnnouncement(createAnnouncement(5, 4, change))).toBe(
+			AnnouncementEnd.Accepted,
+		);
+		expect(monitor.isPresent).toBe(true);
+		expect(monitor.isInDoubt).toBe(delay === 0);
+	});
+
 	it('keeps the backend server found by its health path despite a late announcement of another start', () => {
 		const {monitor} = createFixture(true);
 		monitor.handleAnnouncement(
--- a/src/node/backend-finder.ts
+++ b/src/node/backend-finder.ts
@@ -25,10 +25,13 @@
 }
 
 const queryPeriod: Millis = 60;
+/** Period while only the health path can tell that a backend server takes requests again. */
+const doubtPeriod: Millis = second / 2;
 const queryTimeout: Millis = 300;
 /** The endpoint in the settings is valid only at the start of the process. */
 const searchDuration: Millis = 4 * second;
 const okStatus = 200;
+const unreadyStatus = 503;
 
 /**
  * Queries the health endpoint of a backend server that kept running while its node restarted, so that
@@ -39,14 +42,15 @@
 
 	constructor(private readonly deps: BackendFinderDependencies) {}
 
-	/** Queries the endpoint until the backend server is present or the search duration has passed. */
+	/** Queries the endpoint until the backend server is present or can be told from its announcements. */
 	start(): void {
 		const {clock, backend} = this.deps;
 		const until = clock.now() + searchDuration;
 		const search = async () => {
 			await this.queryHealth();
-			if (!backend.isPresent && !backend.hasAnnounced && clock.now() < until) {
-				clock.after(queryPeriod, () => {
+			const isSearching = clock.now() < until;
+			if (!backend.isPresent && !backend.hasAnnounced && (isSearching || backend.isInDoubt)) {
+				clock.after(isSearching ? queryPeriod : doubtPeriod, () => {
 					void search();
 				});
 			}
@@ -74,6 +78,10 @@
 			const headers = toHeaderList(res.headers);
 			const instance = protocol.readInstance(headers);
 			const slots = protocol.readLoad(headers)?.slots;
+			if (res.statusCode === unreadyStatus && instance !== undefined) {
+				backend.handleUnready(instance);
+			}
+
 			if (res.statusCode !== okStatus || instance === undefined || !slots) {
 				return;
 			}
--- a/src/node/backend-monitor.ts
+++ b/src/node/backend-monitor.ts
@@ -56,8 +56,12 @@
 	private isNodeDraining = false;
 	/** Announcement of a serving backend server that may be outdated; see `isConfirmed`. */
 	private unconfirmed: Announcement | undefined;
+	/** Instance whose health path told last that it takes no requests, while no announcement counted. */
+	private unready: string | undefined;
+	private readonly createdAt: Millis;
 
 	constructor(private readonly deps: BackendMonitorDependencies) {
+		this.createdAt = deps.clock.now();
 		deps.clock.repeat(checkPeriod, () => {
 			this.checkAnnouncementAge();
 		});
@@ -77,6 +81,15 @@
 		return this.state !== BackendState.Absent;
 	}
 
+	/**
+	 * Whether the health path told a node that has started again that its backend server takes no requests. Announcements
+	 * count in spite of that once a server that still sends them would have been heard.
+	 */
+	get isInDoubt(): boolean {
+		const isRecent = this.deps.clock.now() - this.createdAt <= this.announcementTimeout;
+		return this.deps.isRestart && this.unready !== undefined && isRecent;
+	}
+
 	/** The last accepted announcement; undefined if there is none. */
 	get current(): Announcement | undefined {
 		return this.announcement;
@@ -166,6 +179,15 @@
 		}
 	}
 
+	/**
+	 * Records that the health path answered that the backend server takes no requests. It may have left before this process
+	 * started, and announcements that were sent earlier may still arrive.
+	 * @param instance - instance that has answered.
+	 */
+	handleUnready(instance: string): void {
+		this.unready = instance;
+	}
+
 	/**
 	 * Treats the backend server as cold until a heartbeat or the health path tells otherwise, since it got
 	 * no requests for an unknown time. Has no effect if the deployment does not bound cold backend servers.
@@ -193,6 +215,10 @@
 		this.drain();
 	}
 
+	private get announcementTimeout(): Millis {
+		return this.deps.announcementTimeout ?? defaultAnnouncementTimeout;
+	}
+
 	private get isServing(): boolean {
 		return this.state === BackendState.Warming || this.state === BackendState.Serving;
 	}
@@ -239,7 +265,8 @@
 
 	// The first announcement after a restart of the node may be outdated: the backend server may have
 	// departed since, and the process that acknowledged the departure is gone. The announcement counts
-	// once the health path reports the same instance or a later announcement of the same start follows.
+	// once the health path reports the same instance or a later announcement of the same start follows,
+	// unless the health path tells that the instance takes no requests.
 	private isConfirmed(announcement: Announcement): boolean {
 		const {instance, startedAt, sequence} = announcement;
 		const isOrderedServing =
@@ -252,6 +279,10 @@
 			return true;
 		}
 
+		if (this.isInDoubt && this.unready === instance) {
+			return false;
+		}
+
 		const isLater = (sequence ?? 0) > (this.unconfirmed?.sequence ?? 0);
 		return isSameStart(this.unconfirmed, announcement) && isLater;
 	}
@@ -293,8 +324,7 @@
 	}
 
 	private checkAnnouncementAge(): void {
-		const limit = this.deps.announcementTimeout ?? defaultAnnouncementTimeout;
-		const isOverdue = this.deps.clock.now() - this.announcedAt > limit;
+		const isOverdue = this.deps.clock.now() - this.announcedAt > this.announcementTimeout;
 		if (isOverdue && this.state !== BackendState.Absent && !this.isNodeDraining) {
 			this.detach();
 		}
--- a/tests/leaving.test.ts
+++ b/tests/leaving.test.ts
@@ -59,3 +59,66 @@
 		expect(leaving.backend.seen.length).toBe(before);
 	});
 });
+
+describe('a node that starts again', () => {
+	const mesh = new Mesh(73);
+	let restarted: MeshNode;
+	let other: MeshNode;
+
+	async function sendSome(): Promise<void> {
+		for (let i = 0; i < 40; i++) {
+			await mesh.statusFor(i % 2 === 0 ? restarted : other, {path: '/safe/1'});
+		}
+	}
+
+	async function restart(): Promise<void> {
+		await mesh.endNode(restarted, 'SIGKILL');
+		const {healthQueries} = restarted.backend;
+		await mesh.startNode(restarted);
+		await eventually(async () => restarted.backend.healthQueries > healthQueries + 1);
+	}
+
+	beforeAll(async () => {
+		await mesh.startStore();
+		restarted = await mesh.addNode({zone: 'a', region: 'one', service: 'alpha'});
+		other = await mesh.addNode({zone: 'b', region: 'one', service: 'alpha'});
+		await mesh.configure(routes);
+		await mesh.settle();
+		await eventually(async () => {
+			await sendSome();
+			return restarted.backend.seen.length > 0;
+		});
+	});
+
+	afterAll(async () => {
+		await mesh.stop();
+	});
+
+	// Guards against a sound backend server that is kept out of use because its health path is wrong.
+	it('uses a backend server again that goes on announcing itself, whatever its health path says', async () => {
+		const {backend} = restarted;
+		backend.isHealthy = false;
+		await restart();
+		const before = backend.seen.length;
+		await eventually(async () => {
+			await sendSome();
+			return backend.seen.length > before;
+		});
+		backend.isHealthy = true;
+	});
+
+	// Guards against requests to a backend server that left before, as two of its announcements arrive late.
+	it('uses no backend server that left before, although its announcements arrive late', async () => {
+		const {backend} = restarted;
+		backend.stopHeartbeats();
+		backend.isHealthy = false;
+		expect(await backend.deregister()).toBe(200);
+		await restart();
+		const before = backend.seen.length;
+		expect(await backend.heartbeat()).toBe(200);
+		expect(await backend.heartbeat()).toBe(200);
+		await mesh.settle();
+		await sendSome();
+		expect(backend.seen.length).toBe(before);
+	});
+});
