Let no single heartbeat make all later ones count as late

One heartbeat with the id, start and address of a running backend server and a high sequence, by another writer, made the node ignore all later ones of the server: it fell out of use after six heartbeats for good, and its leaving was refused. The first heartbeat after a restart of the node did the same.

Cause: the highest number ever seen was the bound for the next one.

AnnouncementOrder follows the number only as far as the time since the last one explains it, and follows two late ones in order, as their sender goes on. A leaving of the known start is obeyed also when it is late, as a start that leaves does not come back; it was refused with 409 before. The test that asked for the refusal now asks that it is obeyed.

src/node/__tests__/unit/backend-monitor.test.ts: three tests failed before (a leaving that arrives late, the numbers 1000 and 2^53-1) and pass. Late and repeated heartbeats count as little as before.

--- a/src/node/backend-monitor.ts
+++ b/src/node/backend-monitor.ts
@@ -6,6 +6,7 @@
 import {MemberPhase, type Gossip} from '../membership/index.js';
 import {logEvents, type Logger} from '../telemetry/index.js';
 import {AnnouncedState, type Announcement, type Departure} from './announcement.js';
+import {AnnouncementOrder} from './announcement-order.js';
 import type {ColdMonitor} from './cold-monitor.js';
 
 /** Collaborators of {@link BackendMonitor}. */
@@ -35,6 +36,8 @@
 }
 
 const checkPeriod: Millis = 400;
+/** More than a backend server sends within the announcement timeout, with repetitions. */
+const maxAnnouncements = 12;
 /** Four announcement periods of a backend server that uses the native announcement protocol. */
 const defaultAnnouncementTimeout: Millis = 4 * second;
 /** Factor by which a call takes longer while the backend server warms up. */
@@ -52,10 +55,12 @@
 	/** Last start of the backend server whose departure was received. */
 	private departed: Departure | undefined;
 	private announcedAt: Millis = 0;
+	/** Order of the announcements of one start. */
+	private order: {readonly start: Departure; readonly sequences: AnnouncementOrder} | undefined;
 	private startedAt: Millis = 0;
 	private isNodeDraining = false;
 	/** Announcement of a serving backend server that may be outdated; see `isConfirmed`. */
-	private unconfirmed: Announcement | undefined;
+	private unconfirmed: Departure | undefined;
 	/** Instance whose health path told last that it takes no requests, while no announcement counted. */
 	private unready: string | undefined;
 	private readonly createdAt: Millis;
@@ -114,21 +119,13 @@
 		const reason = this.reasonToIgnore(announcement);
 		if (reason !== undefined) {
 			this.logIgnored(announcement, reason);
-			// A leaving is acknowledged only if no more requests are sent to that start.
-			const isLeaving = announcement.state === AnnouncedState.Draining;
-			const isSent = this.isServing && isSameStart(this.announcement, announcement);
-			return isLeaving && isSent ? AnnouncementEnd.Refused : AnnouncementEnd.Superseded;
+			return AnnouncementEnd.Superseded;
 		}
 
 		if (!this.isConfirmed(announcement)) {
 			const {instance, sequence} = announcement;
 			this.deps.logger.log(logEvents.announcementUnconfirmed, {instance, sequence});
-			// The first one of a start stays recorded: a repeated older announcement must not lower the
-			// sequence number that the next one has to exceed.
-			if (!isSameStart(this.unconfirmed, announcement)) {
-				this.unconfirmed = announcement;
-			}
-
+			this.unconfirmed = announcement;
 			return AnnouncementEnd.Accepted;
 		}
 
@@ -219,10 +216,6 @@
 		return this.deps.announcementTimeout ?? defaultAnnouncementTimeout;
 	}
 
-	private get isServing(): boolean {
-		return this.state === BackendState.Warming || this.state === BackendState.Serving;
-	}
-
 	// What fits no backend server that may be here changes nothing for the one that is.
 	private reasonToRefuse(announcement: Announcement): string | undefined {
 		const {service} = announcement;
@@ -249,18 +242,35 @@
 			return 'it has left';
 		}
 
-		const known = this.announcement;
-		if (known?.startedAt === undefined || announcement.startedAt === undefined) {
+		if (announcement.startedAt === undefined) {
 			return undefined;
 		}
 
-		if (!isSameStart(known, announcement)) {
-			const isEarlier = announcement.startedAt < known.startedAt;
-			return isEarlier && this.state !== BackendState.Absent ? 'from an earlier start' : undefined;
+		const known = this.announcement;
+		const isEarlier =
+			known?.startedAt !== undefined &&
+			!isSameStart(known, announcement) &&
+			announcement.startedAt < known.startedAt;
+		if (isEarlier && this.state !== BackendState.Absent) {
+			return 'from an earlier start';
+		}
+
+		// A start that leaves does not come back, so that a late notice of it still holds.
+		const isLeaving = announcement.state === AnnouncedState.Draining;
+		return this.isInOrder(announcement) || isLeaving ? undefined : 'out of order';
+	}
+
+	private isInOrder(announcement: Announcement): boolean {
+		const {sequence = 0} = announcement;
+		const now = this.deps.clock.now();
+		if (this.order && isSameStart(this.order.start, announcement)) {
+			return this.order.sequences.accept(sequence, now);
 		}
 
-		const isOld = (announcement.sequence ?? 0) <= (known.sequence ?? 0);
-		return isOld ? 'out of order' : undefined;
+		const minPeriod = this.announcementTimeout / maxAnnouncements;
+		const sequences = new AnnouncementOrder(sequence, now, minPeriod);
+		this.order = {start: announcement, sequences};
+		return true;
 	}
 
 	// The first announcement after a restart of the node may be outdated: the backend server may have
@@ -268,7 +278,7 @@
 	// once the health path reports the same instance or a later announcement of the same start follows,
 	// unless the health path tells that the instance takes no requests.
 	private isConfirmed(announcement: Announcement): boolean {
-		const {instance, startedAt, sequence} = announcement;
+		const {instance, startedAt} = announcement;
 		const isOrderedServing =
 			startedAt !== undefined && announcement.state === AnnouncedState.Serving;
 		const found = this.announcement;
@@ -283,8 +293,7 @@
 			return false;
 		}
 
-		const isLater = (sequence ?? 0) > (this.unconfirmed?.sequence ?? 0);
-		return isSameStart(this.unconfirmed, announcement) && isLater;
+		return isSameStart(this.unconfirmed, announcement);
 	}
 
 	private attach(announcement: Announcement, isAbsent: boolean): void {
