--- a/scaffold/conformance/answer-row.ts
+++ b/scaffold/conformance/answer-row.ts
@@ -165,11 +165,25 @@
 const faultyFramings = framings.filter(({name}) =>
 	['length', 'no content', 'chunks', 'to the close'].includes(name),
 );
+/** Heads that the node refuses; RFC 9112 leaves each of them open or asks for it. */
+const refusedFramings: readonly Framing[] = [
+	{name: 'a folded field', head: (body) => `${length(body)}X-Folded: a\r\n b\r\n`},
+	{name: 'a bare line feed', head: (body) => `${length(body)}X-Bare: a\nX-Next: b\r\n`},
+	{name: 'a control character', head: (body) => `${length(body)}X-Control: a\u0001b\r\n`},
+	{
+		name: 'a head that is too long',
+		head: (body) => `${length(body)}X-Long: ${'y'.repeat(17_000)}\r\n`,
+	},
+	{name: 'a length beside chunks', head: (body) => `${length(body)}${chunked}`},
+	{name: 'two lengths', head: (body) => `${length(body)}Content-Length: 1\r\n`},
+	{name: 'a length that is no number', head: () => 'Content-Length: 4x\r\n'},
+];
 const signedOnly: Framing = {name: 'signed', head: () => '', isEmpty: true};
 
 /** All rows. */
 export const answerRows: readonly AnswerRow[] = [
 	...combine(statuses, framings, Wanted.Answer),
 	...combine(badStatuses, faultyFramings, Wanted.Fault),
+	...combine(['200', '404', '503'], refusedFramings, Wanted.Fault),
 	...combine(interimStatuses, [...faultyFramings, signedOnly], Wanted.Fault),
 ];
