--- a/src/node/announcement-order.ts
+++ b/src/node/announcement-order.ts
@@ -16,7 +16,7 @@
 export class AnnouncementOrder {
 	/** Highest number that earlier ones explain. */
 	private latest: Arrival;
-	/** Last number below it, and unlike it a late one. */
+	/** Last late number; undefined if a later one than the highest has come since. */
 	private late: Arrival | undefined;
 
 	/**
