--- a/src/node/backend-monitor.ts
+++ b/src/node/backend-monitor.ts
@@ -87,8 +87,8 @@
 	}
 
 	/**
-	 * Whether the health path told a node that has started again that its backend server takes no requests. Announcements
-	 * count in spite of that once a server that still sends them would have been heard.
+	 * Whether announcements of the instance that the health path called unready are left out, because this node has started
+	 * again. It ends with the announcement timeout, as those sent before the start have arrived by then.
 	 */
 	get isInDoubt(): boolean {
 		const isRecent = this.deps.clock.now() - this.createdAt <= this.announcementTimeout;
--- a/src/routing/__tests__/unit/objective-placement.test.ts
+++ b/src/routing/__tests__/unit/objective-placement.test.ts
@@ -61,6 +61,17 @@
 		expect(placement.choose(createQuery())).toBe(near);
 	});
 
+	// Guards against an executor that is left out for minutes after one failure, while all are idle.
+	it('chooses an idle executor again that failed half a minute ago as often as its equals', () => {
+		const {placement, clock, directory, near} = createFixture();
+		directory.merge({...near, id: 'equal'});
+		placement.recordLoad('near', {...usual, failureShare: 0.5});
+		placement.recordLoad('equal', usual);
+		clock.advance(30_000);
+		const chosen = Array.from({length: 100}, () => placement.choose(createQuery())?.id);
+		expect(chosen.filter((id) => id === 'near').length).toBeGreaterThan(25);
+	});
+
 	it('leaves an executor whose rate limit is used up until a call can start there again', () => {
 		const {placement, clock, near, zone} = createFixture();
 		placement.recordLoad('near', {...usual, rateLimit: 2, untilStart: 400});
